Serve and send HTTP with h2o, and JSON-RPC over it

Cause: the whole path needs a real server and client on one loop. Ruled out: libjsonrpccpp's own connectors (threads, blocking); the library is the codec, run once to read a call and once to write its reply. h2o 2.2 does not read while a request waits, so a 100 ms poll finds clients that have gone. Conclusion: a refused connection is told from a lost answer, which is what every at-most-once decision rests on.

--- /dev/null
+++ b/src/framework/rpc/rpcclient.h
@@ -0,0 +1,32 @@
+//===- rpcclient.h - JSON-RPC over HTTP, calling ----------------*- C++ -*-===//
+//
+// Calls methods of peers on their POST /rpc.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_FRAMEWORK_RPC_RPCCLIENT_H
+#define GERANIUMBAY_FRAMEWORK_RPC_RPCCLIENT_H
+
+#include "framework/net/ihttpclient.h"
+#include "framework/rpc/irpcclient.h"
+
+namespace geraniumbay {
+
+/// An IRpcClient on an IHttpClient.
+class RpcClient : public IRpcClient {
+public:
+  /// Sends over \p Http, which outlives it, with the shared \p PeerKey.
+  RpcClient(IHttpClient &Http, std::string PeerKey)
+      : Http_(Http), PeerKey_(std::move(PeerKey)) {}
+
+  void call(const Endpoint &To, const std::string &Method, Json::Value Params,
+            Duration Timeout, Callback Done) override;
+
+private:
+  IHttpClient &Http_;
+  std::string PeerKey_;
+};
+
+} // namespace geraniumbay
+
+#endif // GERANIUMBAY_FRAMEWORK_RPC_RPCCLIENT_H
--- /dev/null
+++ b/src/framework/tests/httptest.cpp
@@ -0,0 +1,129 @@
+//===- httptest.cpp - Tests of the HTTP server and client -----------------===//
+
+#include "framework/net/internal/listener.h"
+#include "framework/tests/nettestutil.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace geraniumbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration LongTimeout = seconds(10);
+
+class HttpTest : public testing::Test {
+protected:
+  Outcome<HttpResponse> call(const std::string &Path, Duration Timeout) {
+    std::optional<Outcome<HttpResponse>> Result;
+    HttpRequest Request;
+    Request.Path = Path;
+    Request.Body = "question";
+    Net_.Client.call(Net_.Address, Request, Timeout,
+                     [&](const Outcome<HttpResponse> &Got) { Result = Got; });
+    EXPECT_FALSE(Result.has_value());
+    Net_.runUntil([&] { return Result.has_value(); });
+    return *Result;
+  }
+
+  NetFixture Net_;
+};
+
+TEST_F(HttpTest, CarriesHeadersQueryAndBodyBothWays) {
+  HttpRequest Seen;
+  Net_.Server.route("GET", "/echo",
+                    [&](const std::shared_ptr<IHttpExchange> &Ex) {
+                      Seen = Ex->request();
+                      Ex->reply({201, {{"X-Answer", "yes"}}, "answer"});
+                    });
+  auto Result = call("/echo", LongTimeout);
+  ASSERT_TRUE(Result.ok());
+  EXPECT_EQ(Result->Status, 201);
+  EXPECT_EQ(Result->Body, "answer");
+  EXPECT_EQ(*findHeader(Result->Headers, "x-answer"), "yes");
+  EXPECT_EQ(Seen.Body, "question");
+}
+
+TEST_F(HttpTest, AnswersLater) {
+  std::shared_ptr<IHttpExchange> Kept;
+  Net_.Server.route("GET", "/later",
+                    [&](const std::shared_ptr<IHttpExchange> &Ex) {
+                      Kept = Ex;
+                      Net_.Loop.timers().after(milliseconds(20), [&] {
+                        Kept->reply({200, {}, "x"});
+                      });
+                    });
+  auto Result = call("/later", LongTimeout);
+  ASSERT_TRUE(Result.ok());
+  EXPECT_EQ(Result->Body, "x");
+}
+
+TEST_F(HttpTest, TellsUnknownPathFromUnknownMethod) {
+  Net_.Server.route("POST", "/a",
+                    [](const std::shared_ptr<IHttpExchange> &) {});
+  EXPECT_EQ(call("/a", LongTimeout)->Status, 405);
+  EXPECT_EQ(call("/b", LongTimeout)->Status, 404);
+}
+
+TEST_F(HttpTest, AConnectionRefusedProvesThatNothingWasSent) {
+  auto Opened = *attempt([] { return openListener({"127.0.0.1", 0}); });
+  close(Opened.Descriptor);
+  Net_.Address = Opened.Address;
+  auto Result = call("/", LongTimeout);
+  ASSERT_FALSE(Result.ok());
+  EXPECT_EQ(Result.error().Code, ErrorCode::Refused);
+}
+
+TEST_F(HttpTest, ATimeoutAfterTheRequestWasSentIsUnknown) {
+  std::shared_ptr<IHttpExchange> Kept;
+  Net_.Server.route(
+      "GET", "/never",
+      [&](const std::shared_ptr<IHttpExchange> &Ex) { Kept = Ex; });
+  auto Result = call("/never", milliseconds(50));
+  ASSERT_FALSE(Result.ok());
+  EXPECT_EQ(Result.error().Code, ErrorCode::Timeout);
+}
+
+TEST_F(HttpTest, TheServerLearnsThatTheClientHasGone) {
+  bool Gone = false;
+  std::shared_ptr<IHttpExchange> Kept;
+  Net_.Server.route("GET", "/gone",
+                    [&](const std::shared_ptr<IHttpExchange> &Ex) {
+                      Kept = Ex;
+                      Kept->onGone([&] { Gone = true; });
+                    });
+  HttpRequest Request;
+  Request.Path = "/gone";
+  HttpCallId Id =
+      Net_.Client.call(Net_.Address, Request, LongTimeout,
+                       [](const Outcome<HttpResponse> &) { FAIL(); });
+  ASSERT_TRUE(Net_.runUntil([&] { return Kept != nullptr; }));
+  Net_.Client.cancel(Id);
+  EXPECT_TRUE(Net_.runUntil([&] { return Gone; }));
+  EXPECT_EQ(Net_.Server.unanswered(), 0U);
+  Kept->reply({});
+}
+
+TEST_F(HttpTest, AConnectionIsNotUsedAgainAfterATimeout) {
+  int Requests = 0;
+  std::shared_ptr<IHttpExchange> Kept;
+  Net_.Server.route("GET", "/mixed",
+                    [&](const std::shared_ptr<IHttpExchange> &Ex) {
+                      if (++Requests == 1)
+                        Kept = Ex;
+                      else
+                        Ex->reply({200, {}, "second"});
+                    });
+  EXPECT_FALSE(call("/mixed", milliseconds(50)).ok());
+  Kept->reply({200, {}, "first, too late"});
+  auto Result = call("/mixed", LongTimeout);
+  ASSERT_TRUE(Result.ok());
+  EXPECT_EQ(Result->Body, "second");
+}
+
+} // namespace
+} // namespace geraniumbay
