--- a/src/dispatch/ipoolowner.h
+++ b/src/dispatch/ipoolowner.h
@@ -25,10 +25,13 @@
   /// incarnation or the worker was removed.
   virtual Ret announce(const WorkerAnnouncement &Announcement) = 0;
 
-  /// Removes a worker for good (incarnations up to \p Last), or because
-  /// another entry now owns it. Leases on it stay until they are released.
+  /// Removes incarnations up to \p Last of a worker; their announcements are
+  /// refused from now on.
   virtual void removeWorker(const WorkerId &Worker, Incarnation Last) = 0;
 
+  /// Forgets a worker that another entry owns now.
+  virtual void disownWorker(const WorkerId &Worker) = 0;
+
   /// Tells that incarnations of \p Entry up to \p Last are dead: its requests
   /// are dropped and its leases reclaimed as the workers report free slots.
   virtual void entryDied(const VmId &Entry, Incarnation Last) = 0;
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -40,7 +40,7 @@
   /// A worker without an announcement for so long gets no new leases.
   Duration SilentAfter = std::chrono::seconds(3);
   /// Consecutive failures after which a worker is left out.
-  std::uint32_t EjectAfterFailures = 3;
+  std::uint32_t EjectAfterFailures = 4;
   /// Time until the first probe of a worker that was left out; doubles with
   /// each failed probe up to the maximum.
   Duration ProbeAfter = std::chrono::seconds(1);
--- a/src/dispatch/types.cpp
+++ b/src/dispatch/types.cpp
@@ -20,8 +20,8 @@
 constexpr Names<6> RejectReasons = {"overloaded", "deadline_unmet",
                                     "never_fits", "no_workers",
                                     "draining",   "lost"};
-constexpr Names<5> LeaseOutcomes = {"succeeded", "failed", "not_started",
-                                    "refused", "cancelled"};
+constexpr Names<6> LeaseOutcomes = {"succeeded", "failed",      "not_started",
+                                    "refused",   "unreachable", "cancelled"};
 
 template <typename EnumT, std::size_t Size>
 const char *nameOf(const Names<Size> &All, EnumT Value) {
--- a/src/dispatch/types.h
+++ b/src/dispatch/types.h
@@ -47,11 +47,12 @@
 
 /// How a leased task ended.
 enum class LeaseOutcome : std::uint8_t {
-  Succeeded,  ///< The worker ran it and answered.
-  Failed,     ///< The worker failed it, or its connection broke.
-  NotStarted, ///< Not sent, or provably not received by the worker.
-  Refused,    ///< The worker's guard refused it.
-  Cancelled,  ///< Given up by the caller; says nothing of the worker.
+  Succeeded,   ///< The worker ran it and answered.
+  Failed,      ///< The worker failed it, or its connection broke.
+  NotStarted,  ///< Given back unused.
+  Refused,     ///< The worker's guard refused it.
+  Unreachable, ///< The worker could not be connected to; it did not start.
+  Cancelled,   ///< Given up by the caller; says nothing of the worker.
 };
 
 /// Asks for one slot for each of some tasks.
@@ -70,6 +71,9 @@
   Duration DeclaredRun{0};
   /// The caller comes back after the RetryAfter of an earlier rejection.
   bool Returning = false;
+  /// A worker to avoid if another one is free: where an earlier try of the
+  /// task ran. Empty if there is none.
+  WorkerId Avoid;
 };
 
 /// The right to start one task at one worker, once.
@@ -82,6 +86,14 @@
   Endpoint Address;
 };
 
+/// One start of one entry process.
+struct EntryRef {
+  VmId Entry;
+  Incarnation Start;
+
+  bool operator==(const EntryRef &) const = default;
+};
+
 /// Tells that a request gets no more leases.
 struct Rejection {
   RejectReason Reason = RejectReason::Overloaded;
