--- a/src/inventory/settings.h
+++ b/src/inventory/settings.h
@@ -112,19 +112,9 @@
 Checked<ProcessSettings> parseSettings(std::string_view Text,
                                        const std::string &File);
 
-/// Returns the whole file \p Path. Fails with NotFound, Io, or InvalidArgument
-/// if it is longer than \p MaxBytes or not a regular file.
-RetVal<std::string> readTextFile(const std::string &Path, std::size_t MaxBytes);
-
-/// Returns the secret in the file \p Path without the line end. Fails like
-/// readTextFile, and with Refused unless only its owner may read or write it
-/// (mode 0600 or 0400), and with InvalidArgument if it is shorter than 16
-/// characters.
-RetVal<std::string> readSecretFile(const std::string &Path);
-
-/// Returns what is wrong with the secret files that \p Settings name.
-Problems checkSecretFiles(const ProcessSettings &Settings,
-                          const std::string &File);
+/// Returns what is wrong with the secret files that \p Settings name: missing,
+/// readable by others, or too short (see textfile.h).
+Problems checkSecretFiles(const ProcessSettings &Settings);
 
 } // namespace geraniumbay::inventory
 
