--- a/src/dispatch/internal/announcements.cpp
+++ b/src/dispatch/internal/announcements.cpp
@@ -104,6 +104,15 @@
     forgetWorker(Pool, Found->second);
 }
 
+void suspendWorker(PoolState &Pool, const WorkerId &Worker) {
+  auto Found = Pool.Workers.find(Worker);
+  if (Found == Pool.Workers.end())
+    return;
+  Pool.ByHeard.erase({Found->second.HeardAt, Worker});
+  Found->second.Silent = true;
+  placeWorker(Found->second);
+}
+
 void disownWorker(PoolState &Pool, const WorkerId &Worker) {
   auto Found = Pool.Workers.find(Worker);
   if (Found != Pool.Workers.end())
--- a/src/dispatch/ipooldirectory.h
+++ b/src/dispatch/ipooldirectory.h
@@ -20,6 +20,12 @@
 public:
   virtual ~IPoolDirectory() = default;
 
+  /// This process and its incarnation.
+  virtual EntryRef self() const = 0;
+
+  /// The data centre of this process.
+  virtual DataCentreId dataCentre() const = 0;
+
   /// The last known summaries of the pools of \p Service whose owners are
   /// alive; the local process's own pool is among them.
   virtual std::vector<PoolSummary> pools(const ServiceId &Service) const = 0;
--- a/src/dispatch/ipoolowner.h
+++ b/src/dispatch/ipoolowner.h
@@ -29,6 +29,9 @@
   /// refused from now on.
   virtual void removeWorker(const WorkerId &Worker, Incarnation Last) = 0;
 
+  /// Grants nothing on a worker until its next announcement.
+  virtual void suspendWorker(const WorkerId &Worker) = 0;
+
   /// Forgets a worker that another entry owns now.
   virtual void disownWorker(const WorkerId &Worker) = 0;
 
--- a/src/dispatch/pool.h
+++ b/src/dispatch/pool.h
@@ -84,6 +84,9 @@
 void removeWorker(PoolState &Pool, const WorkerId &Worker, Incarnation Last,
                   Time Now);
 
+/// Grants nothing on a worker until its next announcement.
+void suspendWorker(PoolState &Pool, const WorkerId &Worker);
+
 /// Forgets a worker that another entry owns now.
 void disownWorker(PoolState &Pool, const WorkerId &Worker);
 
