--- /dev/null
+++ b/src/membership/internal/report.h
@@ -0,0 +1,33 @@
+//===- report.h - What one entry says of itself -----------------*- C++ -*-===//
+//
+// The part of a heartbeat that describes an entry. Its sender describes
+// itself; in large systems it also relays what others said.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_MEMBERSHIP_INTERNAL_REPORT_H
+#define GERANIUMBAY_MEMBERSHIP_INTERNAL_REPORT_H
+
+#include "membership/poolsummary.h"
+#include "membership/revision.h"
+
+namespace geraniumbay::membership {
+
+/// What an entry said of itself, and how long ago.
+struct EntryReport {
+  VmId Vm;
+  Revision Version;
+  bool Draining = false;
+  /// The configuration that is in force at the entry.
+  ConfigVersion InForce;
+  std::vector<PoolSummary> Pools;
+  /// At the sender of the message: the entry was certainly running so long
+  /// ago. 0 in the sender's report of itself.
+  Duration Age{0};
+
+  bool operator==(const EntryReport &) const = default;
+};
+
+} // namespace geraniumbay::membership
+
+#endif // GERANIUMBAY_MEMBERSHIP_INTERNAL_REPORT_H
--- a/src/membership/poolsummary.h
+++ b/src/membership/poolsummary.h
@@ -35,7 +35,7 @@
 struct PoolReport {
   VmId Owner;
   PoolSummary Summary;
-  /// Time since the owner said it, without the network's delay.
+  /// The owner said it at most so long ago.
   Duration Age{0};
 };
 
