--- a/src/inventory/document.cpp
+++ b/src/inventory/document.cpp
@@ -127,8 +127,8 @@
     Doc.Rule.Budget.Hedge = HedgeWhenMessagesMatter;
 }
 
-std::vector<IniSection> readSources(const std::vector<SourceText> &Sources,
-                                    ProblemList &Found) {
+std::vector<IniSection> readSections(const std::vector<SourceText> &Sources,
+                                     ProblemList &Found) {
   std::vector<IniSection> All;
   std::size_t Size = 0;
   for (const SourceText &Source : Sources) {
@@ -149,7 +149,7 @@
 
 Checked<Document> parseDocument(const std::vector<SourceText> &Sources) {
   ProblemList Found;
-  SectionIndex Index(readSources(Sources, Found), Found);
+  SectionIndex Index(readSections(Sources, Found), Found);
   Document Doc;
   for (const auto &[Title, Section] : Index.sections())
     if (const SectionKind *Kind = kindOf(Section, Found))
--- a/src/inventory/internal/settingskeys.cpp
+++ b/src/inventory/internal/settingskeys.cpp
@@ -35,12 +35,13 @@
 
 const KeyTable<ControlSettings> &controlKeys() {
   using PeerList = ListCodec<std::vector<Endpoint>, EndpointCodec>;
+  using PathList = ListCodec<std::vector<std::string>, PathCodec>;
   static const KeyTable<ControlSettings> Table{
       requiredKey<ControlSettings>("peers", &ControlSettings::Peers,
                                    PeerList{}),
-      optionalKey<ControlSettings>("bootstrap_document",
-                                   &ControlSettings::BootstrapDocument,
-                                   PathCodec{}),
+      optionalKey<ControlSettings>("bootstrap_documents",
+                                   &ControlSettings::BootstrapDocuments,
+                                   PathList{}),
   };
   return Table;
 }
@@ -73,9 +74,9 @@
   using Security = SecuritySettings;
   static const KeyTable<Security> Table{
       optionalKey<Security>("admin_token_file", &Security::AdminTokenFile,
-                            PathCodec{}, "no token asked for"),
+                            PathCodec{}, "none; required beyond loopback"),
       optionalKey<Security>("peer_key_file", &Security::PeerKeyFile,
-                            PathCodec{}, "peers not checked"),
+                            PathCodec{}, "none; required beyond loopback"),
       optionalKey<Security>("admin_certificate_file",
                             &Security::AdminCertificateFile, PathCodec{},
                             "no TLS"),
--- a/src/inventory/settings.cpp
+++ b/src/inventory/settings.cpp
@@ -7,7 +7,6 @@
 #include "inventory/settings.h"
 #include "inventory/internal/sectionindex.h"
 #include "inventory/internal/settingskeys.h"
-#include "inventory/textfile.h"
 
 namespace geraniumbay::inventory {
 namespace {
@@ -75,6 +74,25 @@
         "admin_certificate_file and admin_private_key_file go together"));
 }
 
+/// Whoever can reach an address beyond loopback must show a secret.
+void checkSecretsNamed(const ProcessSettings &Settings,
+                       const SectionIndex &Index, ProblemList &Found) {
+  auto Reachable = [](const Endpoint &Address) {
+    return Address.Port != 0 && !Address.Address.starts_with("127.");
+  };
+  const ProcessIdentity &Process = Settings.Process;
+  const char *Wanted = "missing; wanted because the address is not on loopback";
+  if (Reachable(Process.Peer) && !Index.hasKey("security", "peer_key_file"))
+    Found.add(
+        Index.problem("process", "peer_address",
+                      std::string("security.peer_key_file is ") + Wanted));
+  if (Process.Admin && Reachable(*Process.Admin) &&
+      !Index.hasKey("security", "admin_token_file"))
+    Found.add(
+        Index.problem("process", "admin_address",
+                      std::string("security.admin_token_file is ") + Wanted));
+}
+
 /// Reports required sections that are missing altogether.
 void checkSections(const std::string &File, const SectionIndex &Index,
                    ProblemList &Found) {
@@ -100,29 +118,12 @@
   checkRoles(Settings, Index, Found);
   checkAddresses(Settings.Process, Index, Found);
   checkTls(Settings.Security, Index, Found);
+  checkSecretsNamed(Settings, Index, Found);
   if (!Found.empty())
     return Found.take();
   return Settings;
 }
 
-Problems checkSecretFiles(const ProcessSettings &Settings) {
-  const SecuritySettings &Security = Settings.Security;
-  const std::pair<const char *, const std::string &> Files[] = {
-      {"security.admin_token_file", Security.AdminTokenFile},
-      {"security.peer_key_file", Security.PeerKeyFile},
-      {"security.admin_private_key_file", Security.AdminPrivateKeyFile},
-  };
-  Problems Result;
-  for (const auto &[Key, Path] : Files) {
-    if (Path.empty())
-      continue;
-    auto Secret = attempt([&Path = Path] { return readSecretFile(Path); });
-    if (!Secret)
-      Result.push_back({"", 0, Key, Secret.error().Message});
-  }
-  return Result;
-}
-
 std::vector<KeyInfo> settingsKeys() {
   std::vector<KeyInfo> Result;
   listKeys("process", processKeys(), Result);
--- a/src/inventory/settings.h
+++ b/src/inventory/settings.h
@@ -12,6 +12,7 @@
 #include "framework/clock/iclock.h"
 #include "framework/log/log.h"
 #include "framework/net/endpoint.h"
+#include "inventory/inventory.h"
 #include "inventory/problem.h"
 #include "inventory/role.h"
 #include "inventory/units.h"
@@ -46,8 +47,9 @@
 struct ControlSettings {
   /// Peer addresses of the control VMs; at least one.
   std::vector<Endpoint> Peers;
-  /// File with the first document of a new system; may be empty.
-  std::string BootstrapDocument;
+  /// Files with the first document of a new system (see readSources()); empty
+  /// if this process never founds one.
+  std::vector<std::string> BootstrapDocuments;
 
   bool operator==(const ControlSettings &) const = default;
 };
@@ -71,9 +73,9 @@
 
 /// Files with secrets; each must be readable by its owner only.
 struct SecuritySettings {
-  /// Token that the admin interface asks for; no token if empty.
+  /// Token that the admin interface asks for; empty only on loopback.
   std::string AdminTokenFile;
-  /// Key that the system's processes share; no check if empty.
+  /// Key that the system's processes share; empty only on loopback.
   std::string PeerKeyFile;
   /// TLS of the admin interface; both or neither.
   std::string AdminCertificateFile;
@@ -112,6 +114,11 @@
 Checked<ProcessSettings> parseSettings(std::string_view Text,
                                        const std::string &File);
 
+/// Returns where \p Settings differ from what \p Inv says of the VM: data
+/// centre, roles, addresses and the control VMs' addresses.
+Problems compareWithInventory(const ProcessSettings &Settings,
+                              const Inventory &Inv);
+
 /// Returns what is wrong with the secret files that \p Settings name: missing,
 /// readable by others, or too short (see textfile.h).
 Problems checkSecretFiles(const ProcessSettings &Settings);
--- a/src/inventory/textfile.cpp
+++ b/src/inventory/textfile.cpp
@@ -16,7 +16,7 @@
 namespace geraniumbay::inventory {
 namespace {
 
-constexpr std::size_t MaxSecretBytes = 4096;
+constexpr std::size_t MaxSecretBytes = 16384;
 constexpr std::size_t MinSecretLength = 16;
 /// Permission bits that a secret file may have: read and write by the owner.
 constexpr mode_t SecretMode = S_IRUSR | S_IWUSR;
@@ -47,6 +47,16 @@
   return Text;
 }
 
+RetVal<std::vector<SourceText>>
+readSources(const std::vector<std::string> &Paths) {
+  std::vector<SourceText> Result;
+  for (const std::string &Path : Paths) {
+    BOOST_LEAF_AUTO(Text, readTextFile(Path, MaxDocumentBytes));
+    Result.push_back({Path, std::move(Text)});
+  }
+  return Result;
+}
+
 RetVal<std::string> readSecretFile(const std::string &Path) {
   BOOST_LEAF_AUTO(Status, fileStatus(Path));
   if ((Status.st_mode & PermissionBits & ~SecretMode) != 0)
--- a/src/inventory/textfile.h
+++ b/src/inventory/textfile.h
@@ -9,8 +9,10 @@
 #define GERANIUMBAY_INVENTORY_TEXTFILE_H
 
 #include "framework/errors/error.h"
+#include "inventory/document.h"
 
 #include <string>
+#include <vector>
 
 namespace geraniumbay::inventory {
 
@@ -18,6 +20,11 @@
 /// if it is longer than \p MaxBytes or not a regular file.
 RetVal<std::string> readTextFile(const std::string &Path, std::size_t MaxBytes);
 
+/// Returns the files \p Paths, each under its path, for parseDocument() and
+/// joinSources(). Fails like readTextFile.
+RetVal<std::vector<SourceText>>
+readSources(const std::vector<std::string> &Paths);
+
 /// Returns the secret in the file \p Path without the line end. Fails like
 /// readTextFile, with Refused unless only its owner may read or write it
 /// (mode 0600 or 0400), and with InvalidArgument if it is shorter than 16
