--- a/src/dispatch/internal/poolclient.cpp
+++ b/src/dispatch/internal/poolclient.cpp
@@ -86,6 +86,7 @@
   OwnerState &Owner = Owners_[To.Owner];
   Owner.Address = To.Address;
   Owner.Waiting.insert(Id);
+  Owner.AskedAt = Clock_.now();
   Sent_[To.Owner] += To.Tasks;
   AcquireMessage Message{Directory_.self(), Of.Request};
   Message.Request.Tasks = To.Tasks;
--- a/src/dispatch/internal/poolclient.h
+++ b/src/dispatch/internal/poolclient.h
@@ -72,6 +72,8 @@
     std::set<LeaseId> Held;
     std::set<RequestId> Waiting;
     std::vector<ReleaseItem> Releases;
+    /// When it was last asked for something.
+    Time AskedAt{};
     /// Calls of pool.renew in a row that failed.
     std::uint32_t Failures = 0;
   };
--- a/src/dispatch/internal/poolclientupkeep.cpp
+++ b/src/dispatch/internal/poolclientupkeep.cpp
@@ -11,6 +11,9 @@
 
 constexpr Duration CallTimeout = std::chrono::milliseconds(500);
 constexpr Duration RenewEvery = std::chrono::seconds(1);
+/// An owner is renewed for so long after the last request, so that it learns
+/// of leases that never arrived.
+constexpr Duration RenewIdleFor = std::chrono::seconds(10);
 constexpr Duration ReleaseRetry = std::chrono::milliseconds(100);
 /// Tries of one release; after them the renewal tells the owner.
 constexpr int ReleaseTries = 3;
@@ -75,9 +78,10 @@
 
 void PoolClient::renewAll() {
   Sent_.clear();
-  std::erase_if(Owners_, [](const auto &Each) {
+  std::erase_if(Owners_, [Now = Clock_.now()](const auto &Each) {
     return Each.second.Held.empty() && Each.second.Waiting.empty() &&
-           Each.second.Releases.empty();
+           Each.second.Releases.empty() &&
+           Now - Each.second.AskedAt > RenewIdleFor;
   });
   std::vector<VmId> Ids;
   Ids.reserve(Owners_.size());
--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -18,7 +18,8 @@
 /// What the router knows of one pool while it splits one request.
 struct Candidate {
   const PoolSummary *Pool = nullptr;
-  /// Free slots, less those that were used since the summary.
+  /// Free slots, less those that were used since the summary; below 0 if more
+  /// was sent than was free.
   double Free = 0;
   /// Tasks ahead in the queue.
   double Ahead = 0;
@@ -40,20 +41,21 @@
   bool Remote = Pool.DataCentre != Local;
   Result.Penalty = Remote ? seconds(Policy.RemotePenalty) : 0;
   Result.Free = Pool.Free;
-  if (Remote)
-    Result.Free -= Policy.RemoteReserve * Pool.Slots;
   Result.Ahead = Pool.UrgentQueued;
   if (Request.Class == WorkClass::Routine)
     Result.Ahead += Pool.RoutineQueued;
   auto Found = Sent.find(Pool.Owner);
   if (Found != Sent.end())
     Result.Free -= Found->second;
+  if (Remote && Result.Free > 0)
+    Result.Free =
+        std::max(0.0, Result.Free - Policy.RemoteReserve * Pool.Slots);
   return Result;
 }
 
 /// Seconds until the pool would start \p More further tasks.
 double startCost(const Candidate &Of, std::uint32_t More) {
-  double Queued = Of.Ahead + Of.Given + More - std::max(Of.Free, 0.0);
+  double Queued = Of.Ahead + Of.Given + More - Of.Free;
   double Wait =
       Queued <= 0 ? 0 : Queued / std::max(Of.Pool->DrainPerSecond, 0.001);
   return Wait + Of.Penalty;
