--- /dev/null
+++ b/src/control/internal/machinewire.cpp
@@ -0,0 +1,94 @@
+//===- machinewire.cpp - JSON form of the replicated state ----------------===//
+//
+// The state machine in snapshots.
+//
+//===----------------------------------------------------------------------===//
+
+#include "control/internal/wire.h"
+
+namespace geraniumbay::control::wire {
+
+namespace {
+
+constexpr const char *ConflictName = "conflict";
+constexpr const char *MisusedName = "misused";
+
+/// One remembered operation with its id.
+struct NamedOperation {
+  OperationId Operation;
+  RememberedOperation Remembered;
+};
+
+Json::Value write(const NamedOperation &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["operation"] = Value.Operation.value();
+  Result["digest"] = Json::UInt64(Value.Remembered.Digest);
+  const ConfigAnswer &Answer = Value.Remembered.Answer;
+  Result["version"] = Json::UInt64(Answer.Version.value());
+  if (Answer.Failure)
+    Result["failure"] =
+        *Answer.Failure == ErrorCode::Conflict ? ConflictName : MisusedName;
+  return Result;
+}
+
+RetVal<NamedOperation> readOperation(const Json::Value &From) {
+  NamedOperation Result;
+  BOOST_LEAF_ASSIGN(Result.Operation, readName<OperationId>(From, "operation"));
+  BOOST_LEAF_ASSIGN(Result.Remembered.Digest, json::readUint(From, "digest"));
+  ConfigAnswer &Answer = Result.Remembered.Answer;
+  BOOST_LEAF_ASSIGN(Answer.Version, readNumber<ConfigVersion>(From, "version"));
+  BOOST_LEAF_AUTO(Failure, json::readStringOr(From, "failure", ""));
+  if (!Failure.empty())
+    Answer.Failure = Failure == ConflictName ? ErrorCode::Conflict
+                                             : ErrorCode::InvalidArgument;
+  return Result;
+}
+
+Json::Value write(const ChangeRecord &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["version"] = Json::UInt64(Value.Version.value());
+  Result["operation"] = Value.Operation.value();
+  return Result;
+}
+
+RetVal<ChangeRecord> readChange(const Json::Value &From) {
+  ChangeRecord Result;
+  BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
+  BOOST_LEAF_ASSIGN(Result.Operation, readName<OperationId>(From, "operation"));
+  return Result;
+}
+
+} // namespace
+
+Json::Value write(const MachineState &Value) {
+  Json::Value Result = write(viewOf(Value));
+  Json::Value Operations(Json::arrayValue);
+  for (const OperationId &Id : Value.OperationOrder)
+    Operations.append(write(NamedOperation{Id, Value.Operations.at(Id)}));
+  Result["operations"] = std::move(Operations);
+  Json::Value History(Json::arrayValue);
+  for (const ChangeRecord &Record : Value.History)
+    History.append(write(Record));
+  Result["history"] = std::move(History);
+  return Result;
+}
+
+RetVal<MachineState> readMachine(const Json::Value &From) {
+  BOOST_LEAF_AUTO(Seen, readConfigSnapshot(From));
+  MachineState Result;
+  Result.Version = Seen.Version;
+  Result.Document = std::move(Seen.Document);
+  Result.Seen = Seen.Seen;
+  Result.Ledgers = std::move(Seen.Ledgers);
+  BOOST_LEAF_AUTO(Operations,
+                  readList<NamedOperation>(From, "operations", readOperation));
+  for (NamedOperation &Entry : Operations) {
+    Result.OperationOrder.push_back(Entry.Operation);
+    Result.Operations[Entry.Operation] = Entry.Remembered;
+  }
+  BOOST_LEAF_AUTO(History, readList<ChangeRecord>(From, "history", readChange));
+  Result.History.assign(History.begin(), History.end());
+  return Result;
+}
+
+} // namespace geraniumbay::control::wire
