--- a/src/dispatch/internal/fairqueue.cpp
+++ b/src/dispatch/internal/fairqueue.cpp
@@ -57,7 +57,7 @@
     Flow.Weight = Weight;
     Flow.VirtualStart = std::max(Flow.VirtualStart, Queue.VirtualNow);
   }
-  Flow.Requests.emplace(Request.Sequence, &Request);
+  Flow.Requests.emplace(std::pair(Request.Rank, Request.Sequence), &Request);
   Duration Work = Request.TaskRun * Request.TasksLeft;
   Flow.Work += Work;
   Queue.Work += Work;
@@ -81,14 +81,14 @@
   removeWork(Queue, Flow, Request, 1);
   bool Last = Request.TasksLeft == 0;
   if (Last)
-    Flow.Requests.erase(Request.Sequence);
+    Flow.Requests.erase({Request.Rank, Request.Sequence});
   list(Queue, Flow);
   return Last;
 }
 
 void erase(FairQueue &Queue, Waiting &Request) {
   TeamFlow &Flow = flowOf(Queue, Request.Request.Team);
-  if (Flow.Requests.erase(Request.Sequence) == 0)
+  if (Flow.Requests.erase({Request.Rank, Request.Sequence}) == 0)
     return;
   removeWork(Queue, Flow, Request, Request.TasksLeft);
   if (Flow.Requests.empty())
--- a/src/dispatch/internal/fairqueue.h
+++ b/src/dispatch/internal/fairqueue.h
@@ -3,8 +3,8 @@
 // The waiting requests of one class of one service. Teams share the slots by
 // start-time fair queueing: each granted task costs its team the expected run
 // time over the team's weight, and the team with the lowest virtual time goes
-// next. Within a team, requests go in order of arrival, so that one job ends
-// before the next one starts. All steps cost O(log n).
+// next. Within a team, requests go by their rank, so that one job ends before
+// the next one starts. All steps cost O(log n).
 //
 //===----------------------------------------------------------------------===//
 
@@ -26,6 +26,8 @@
   /// Order of arrival; unique in the pool.
   std::uint64_t Sequence = 0;
   Time Arrived{};
+  /// Order within the team: the lowest goes first.
+  Time Rank{};
   /// Time::max() if the request has no deadline.
   Time Deadline = Time::max();
   /// Tasks without a lease. Invariant: above 0 while the request is queued.
@@ -49,7 +51,8 @@
   bool IsListed = false;
   /// Expected run time of all waiting tasks.
   Duration Work{0};
-  std::map<std::uint64_t, Waiting *> Requests;
+  /// By rank, then in order of arrival.
+  std::map<std::pair<Time, std::uint64_t>, Waiting *> Requests;
 };
 
 /// Teams' flows in order of virtual time.
--- a/src/dispatch/internal/requests.cpp
+++ b/src/dispatch/internal/requests.cpp
@@ -19,6 +19,15 @@
   return Request.Deadline - Request.TaskRun;
 }
 
+/// Small requests go before large ones of the same team that arrived a little
+/// earlier: the last task of a small job is done soon, and a large one hardly
+/// notices. What has waited long enough goes first whatever its size.
+Time rankOf(const PoolPolicy &Policy, const PoolRequest &Request,
+            Duration TaskRun, Time Now) {
+  auto Work = static_cast<double>((TaskRun * Request.Tasks).count());
+  return Now + Duration(static_cast<Duration::rep>(Work * Policy.SizeRank));
+}
+
 /// Removes the request from all orders but the queue's.
 void forgetRequest(PoolState &Pool, ServiceState &Service, Waiting &Request) {
   if (Request.Deadline != Time::max())
@@ -41,6 +50,7 @@
   Added.From = From;
   Added.Sequence = ++Pool.LastSequence;
   Added.Arrived = Now;
+  Added.Rank = rankOf(Pool.Policy, Request, TaskRun, Now);
   Added.TasksLeft = Request.Tasks;
   Added.TaskRun = TaskRun;
   if (Request.TimeLeft > Duration(0)) {
--- a/src/dispatch/retrybudget.cpp
+++ b/src/dispatch/retrybudget.cpp
@@ -37,9 +37,11 @@
 
 bool takeRetry(RetryBudget &Budget, const RetryPolicy &Policy, RequestKind Kind,
                std::uint32_t Tries, bool Started) {
-  if (Started && Kind != RequestKind::RepeatableSingle)
-    return false;
-  if (Tries >= Policy.MaxTries)
+  if (!Started) {
+    take(Budget, 0);
+    return Tries < Policy.MaxSends;
+  }
+  if (Kind != RequestKind::RepeatableSingle || Tries >= Policy.MaxTries)
     return false;
   return take(Budget, 0);
 }
--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -29,8 +29,10 @@
   /// Hedges are sent only while more than this part of Most is left, so that
   /// they never take the tokens that retries need.
   double KeptForRetries = 0.5;
-  /// Most tries of one task, the first one included.
+  /// Most tries of one task, the first one included; and most of a task whose
+  /// tries certainly did not start.
   std::uint32_t MaxTries = 3;
+  std::uint32_t MaxSends = 10;
   /// Wait before the first retry; doubles with each further one.
   Duration Backoff = std::chrono::milliseconds(5);
 };
@@ -46,10 +48,11 @@
 /// Takes note of the first try of a task.
 void earn(RetryBudget &Budget, const RetryPolicy &Policy);
 
-/// Returns true, and takes a token, if a task of a request of \p Kind may be
-/// sent again after \p Tries tries. \p Started tells that the last try may have
-/// started; one that certainly did not may be repeated whatever its kind, and
-/// then costs a token too.
+/// Returns true if a task of a request of \p Kind may be sent again after
+/// \p Tries tries, and takes a token. \p Started tells that the last try may
+/// have started. A task that certainly did not start may be sent again
+/// whatever its kind; it takes a token only if there is one, since it has had
+/// no real try yet.
 bool takeRetry(RetryBudget &Budget, const RetryPolicy &Policy, RequestKind Kind,
                std::uint32_t Tries, bool Started);
 
--- a/src/dispatch/runtimes.cpp
+++ b/src/dispatch/runtimes.cpp
@@ -14,8 +14,6 @@
 
 /// Weight of a new sample once enough were seen.
 constexpr double MinWeight = 0.05;
-/// Another predictor must be better than the declared time by this factor.
-constexpr double PreferDeclared = 1.2;
 /// What was learned longer ago is not used.
 constexpr Duration ForgetAfter = std::chrono::minutes(1);
 
@@ -40,8 +38,7 @@
 double predict(const RunTimeModel &Model, double Declared) {
   if (Declared <= 0)
     return Model.Mean;
-  double Best = std::min(Model.ScaledError, Model.MeanError);
-  if (Model.DeclaredError <= Best * PreferDeclared)
+  if (Model.DeclaredError <= std::min(Model.ScaledError, Model.MeanError))
     return Declared;
   return Model.ScaledError <= Model.MeanError
              ? Declared * std::exp(Model.LogFactor)
--- a/src/dispatch/tests/entrysidetest.cpp
+++ b/src/dispatch/tests/entrysidetest.cpp
@@ -75,8 +75,9 @@
   double Extra = 0;
   for (std::uint8_t Event : Events) {
     if (Event % 2 == 0) {
-      earn(Budget, Policy);
-      ++FirstTries;
+      FirstTries += Event;
+      for (int I = 0; I < Event; ++I)
+        earn(Budget, Policy);
     } else if (Event % 4 == 1) {
       Extra += takeHedge(Budget, Policy, RequestKind::RepeatableSingle);
     } else {
--- a/src/dispatch/tests/outliertest.cpp
+++ b/src/dispatch/tests/outliertest.cpp
@@ -91,6 +91,20 @@
   EXPECT_GE(summaries(*Fixture.Pool)[0].Slots, 16U);
 }
 
+TEST(OutlierTest, AProvenWorkerGetsNothingMoreAfterAFailureUntilItSucceeds) {
+  PoolFixture Fixture;
+  Fixture.addWorkers(1);
+  Fixture.ask(request("r", 4));
+  auto Out = Fixture.grants();
+  ASSERT_EQ(Out.size(), 4U);
+  Fixture.done(Out[0], LeaseOutcome::Failed);
+  Fixture.ask(request("next", 20));
+  EXPECT_TRUE(Fixture.grants().empty());
+  Fixture.done(Out[1], LeaseOutcome::Succeeded);
+  Fixture.done(Out[2], LeaseOutcome::Succeeded);
+  EXPECT_EQ(Fixture.grants().size(), 3U);
+}
+
 TEST(OutlierTest, AnUnreachableWorkerIsLeftOutAndAGuardsRefusalIsBelieved) {
   PoolFixture Fixture;
   Fixture.addWorkers(1);
--- /dev/null
+++ b/src/model/policies.cpp
@@ -0,0 +1,51 @@
+//===- policies.cpp - Policies that run side by side ----------------------===//
+//
+// The list of policies. docs/MEASUREMENTS.md says what each version changed.
+//
+//===----------------------------------------------------------------------===//
+
+#include "model/policies.h"
+
+namespace geraniumbay::model {
+namespace {
+
+Policy naive() {
+  Policy Result;
+  Result.Name = "naive";
+  Result.Kind = PolicyKind::Naive;
+  Result.Budgeted = false;
+  Result.Hedges = false;
+  return Result;
+}
+
+Policy central() {
+  Policy Result;
+  Result.Name = "central";
+  Result.Kind = PolicyKind::Central;
+  Result.Hedges = false;
+  return Result;
+}
+
+/// Each data centre's pool serves its own entries only.
+Policy version1() {
+  Policy Result;
+  Result.Name = "v1";
+  Result.Route.RemotePenalty = std::chrono::hours(1);
+  return Result;
+}
+
+} // namespace
+
+const std::vector<Policy> &policies() {
+  static const std::vector<Policy> All = {naive(), central(), version1()};
+  return All;
+}
+
+std::optional<Policy> findPolicy(const std::string &Name) {
+  for (const Policy &Each : policies())
+    if (Each.Name == Name)
+      return Each;
+  return std::nullopt;
+}
+
+} // namespace geraniumbay::model
