Ask control in the messages that it offers

The history stands in control.status, the document and the ledger views in control.watch. A change that lost a race comes back as an answer with a failure, not as an error; it ends with code 4 and says which version is in force.

--- a/src/cli/internal/apply.cpp
+++ b/src/cli/internal/apply.cpp
@@ -28,11 +28,11 @@
 
 /// Returns the version in force, as the base of a change.
 Outcome<std::uint64_t> currentVersion(Remote &Control) {
-  Outcome<Json::Value> Shown =
-      Control.call(method::Show, Json::Value(Json::objectValue));
-  if (!Shown)
-    return Shown.error();
-  return attempt([&] { return json::readUint(*Shown, "version"); });
+  Outcome<Json::Value> Status =
+      Control.call(method::ControlStatus, method::none());
+  if (!Status)
+    return Status.error();
+  return attempt([&] { return json::readUint(*Status, "version"); });
 }
 
 /// The change that is sent.
@@ -42,6 +42,25 @@
   std::string Document;
 };
 
+/// Returns why control refused \p What, or nothing if \p Answer accepts it.
+std::optional<Error> refusalIn(const Json::Value &Answer, const Change &What) {
+  auto Failure =
+      attempt([&] { return json::readStringOr(Answer, "failure", ""); });
+  auto Version = attempt([&] { return json::readUint(Answer, "version"); });
+  if (!Failure || !Version)
+    return Error{ErrorCode::Corrupt, "the answer has no version"};
+  if (Failure->empty())
+    return std::nullopt;
+  if (*Failure == errorCodeName(ErrorCode::Conflict))
+    return Error{
+        ErrorCode::Conflict,
+        "another change came first: version " + std::to_string(*Version) +
+            " is in force, this one is based on " + std::to_string(What.Base)};
+  return Error{ErrorCode::InvalidArgument,
+               "operation " + What.Operation +
+                   " was used for a different change"};
+}
+
 int proposeChange(const Options &Values, Remote &Control, const Change &What,
                   std::ostream &Out, std::ostream &Err) {
   Json::Value Params(Json::objectValue);
@@ -57,6 +76,9 @@
           << "\n";
     return reportFailure(Values, Answer.error(), Code, Out, Err);
   }
+  if (auto Refusal = refusalIn(*Answer, What))
+    return reportFailure(Values, *Refusal, exitCodeOf(*Refusal, true), Out,
+                         Err);
   Json::Value Result = *Answer;
   Result["operation"] = What.Operation;
   Result["base"] = Json::UInt64(What.Base);
--- a/src/cli/internal/drain.cpp
+++ b/src/cli/internal/drain.cpp
@@ -30,7 +30,7 @@
                               Duration Timeout) {
   Remote Process(Deps, To, Timeout);
   Outcome<Json::Value> Status =
-      Process.call(method::AdminStatus, Json::Value(Json::objectValue));
+      Process.call(method::AdminStatus, method::none());
   if (!Status) {
     if (Status.error().Code == ErrorCode::Refused)
       return Progress{true, 0};
@@ -77,7 +77,7 @@
                          Err);
   Remote Process(Deps, *To, Values.Timeout);
   Outcome<Json::Value> Answer =
-      Process.call(method::AdminDrain, Json::Value(Json::objectValue));
+      Process.call(method::AdminDrain, method::none());
   if (!Answer)
     return reportFailure(Values, Answer.error(),
                          exitCodeOf(Answer.error(), Process.mayHaveRun()), Out,
--- a/src/cli/internal/methods.h
+++ b/src/cli/internal/methods.h
@@ -8,21 +8,40 @@
 #ifndef GERANIUMBAY_CLI_INTERNAL_METHODS_H
 #define GERANIUMBAY_CLI_INTERNAL_METHODS_H
 
+#include <json/value.h>
+
 namespace geraniumbay::cli::method {
 
-/// {operation, base, document} -> {version}
+/// {operation, base, document} -> {version, failure}: the new version; or with
+/// a failure the version in force.
 constexpr const char *Propose = "control.propose";
-/// {} -> {version, document}
-constexpr const char *Show = "control.show";
-/// {} -> {changes: [{version, operation}]}
-constexpr const char *History = "control.history";
-/// {} -> fields for people
+/// {vm, process, incarnation, in_force, revision} -> {version, document,
+/// ledgers}
+constexpr const char *Watch = "control.watch";
+/// {} -> {version, control_vms, voters, watchers, history}
 constexpr const char *ControlStatus = "control.status";
 /// {} -> fields for people; running: requests in flight
 constexpr const char *AdminStatus = "admin.status";
-/// {} -> {}
+/// {} -> the same
 constexpr const char *AdminDrain = "admin.drain";
 
+/// Whom a command calls itself when it watches; no VM can have this name.
+constexpr const char *OperatorVm = "(operator)";
+
+/// The parameters of a method that takes none.
+inline Json::Value none() { return Json::Value(Json::objectValue); }
+
+/// The parameters of Watch that ask for everything there is.
+inline Json::Value watchAll() {
+  Json::Value Params(Json::objectValue);
+  Params["vm"] = OperatorVm;
+  Params["process"] = "cli";
+  Params["incarnation"] = 1;
+  Params["in_force"] = 0;
+  Params["revision"] = 0;
+  return Params;
+}
+
 } // namespace geraniumbay::cli::method
 
 #endif // GERANIUMBAY_CLI_INTERNAL_METHODS_H
--- a/src/cli/internal/remote.cpp
+++ b/src/cli/internal/remote.cpp
@@ -13,7 +13,7 @@
 
 /// The longest wait for one process, so that a silent one leaves time for the
 /// others.
-constexpr Duration MaxTry = std::chrono::seconds(3);
+constexpr Duration MaxTry = std::chrono::seconds(5);
 /// Pause between two rounds, for instance while a leader is elected.
 constexpr Duration RoundPause = std::chrono::milliseconds(200);
 /// A call answers within its timeout; this is for the loop to notice.
