--- a/src/control/configtypes.h
+++ b/src/control/configtypes.h
@@ -9,11 +9,12 @@
 #define GERANIUMBAY_CONTROL_CONFIGTYPES_H
 
 #include "framework/clock/iclock.h"
+#include "framework/errors/error.h"
 #include "framework/types/strongid.h"
 
 #include <map>
+#include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace geraniumbay::control {
@@ -92,6 +93,27 @@
   bool operator==(const LedgerChange &) const = default;
 };
 
+/// The answer to a change of the configuration that was committed.
+struct ConfigAnswer {
+  /// None, or Conflict (another change won) or InvalidArgument (the operation
+  /// id was used for a different change).
+  std::optional<ErrorCode> Failure;
+  /// The version the change made, or the version in force if it failed.
+  ConfigVersion Version;
+
+  bool operator==(const ConfigAnswer &) const = default;
+};
+
+/// The answer to a change of a ledger view that control has decided on.
+struct LedgerAnswer {
+  /// None, or Conflict (the view has moved on) or Refused (not allowed in it).
+  std::optional<ErrorCode> Failure;
+  /// The view in force after the change; empty if there is none.
+  std::optional<LedgerView> View;
+
+  bool operator==(const LedgerAnswer &) const = default;
+};
+
 /// The configuration and ledger views as one process knows them.
 struct ConfigSnapshot {
   /// 0 while no configuration is known.
--- /dev/null
+++ b/src/control/internal/controlreports.cpp
@@ -0,0 +1,157 @@
+//===- controlreports.cpp - Watching and status of a control VM -----------===//
+//
+// What a control VM tells processes that ask for the configuration, and
+// operators who ask who has it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "control/internal/controlservice.h"
+#include "control/internal/wire.h"
+
+#include <algorithm>
+
+namespace geraniumbay::control {
+
+namespace {
+
+constexpr Duration StatusTimeout = std::chrono::milliseconds(500);
+
+/// A request of control.watch.
+struct WatchRequest {
+  Watcher Who;
+  Incarnation Start;
+  ConfigVersion InForce;
+  Revision Seen;
+};
+
+RetVal<WatchRequest> readWatch(const Json::Value &From) {
+  WatchRequest Result;
+  BOOST_LEAF_ASSIGN(Result.Who.Vm, wire::readName<VmId>(From, "vm"));
+  BOOST_LEAF_ASSIGN(Result.Who.Process,
+                    json::readStringOr(From, "process", ""));
+  BOOST_LEAF_ASSIGN(Result.Start,
+                    wire::readNumber<Incarnation>(From, "incarnation"));
+  BOOST_LEAF_ASSIGN(Result.InForce,
+                    wire::readNumber<ConfigVersion>(From, "in_force"));
+  BOOST_LEAF_AUTO(Seen, json::readUintOr(From, "revision", 0));
+  Result.Seen = Revision(Seen);
+  return Result;
+}
+
+const char *roleName(Role Current) {
+  switch (Current) {
+  case Role::Joining:
+    return "joining";
+  case Role::Follower:
+    return "follower";
+  case Role::PreCandidate:
+  case Role::Candidate:
+    return "candidate";
+  case Role::Leader:
+    return "leader";
+  }
+  return "";
+}
+
+/// Takes the report of another control VM into the one of this VM.
+void merge(ControlStatus &Into, const ControlStatus &Other) {
+  mergeWatchers(Into.Watchers, Other.Watchers);
+  for (const ControlVmStatus &Vm : Other.ControlVms)
+    for (ControlVmStatus &Known : Into.ControlVms)
+      if (Known.Vm == Vm.Vm)
+        Known = Vm;
+  if (Other.Version <= Into.Version)
+    return;
+  Into.Version = Other.Version;
+  Into.Voters = Other.Voters;
+  Into.History = Other.History;
+}
+
+/// A report that is being put together.
+struct Gathering {
+  ControlStatus Report;
+  std::size_t Awaited = 0;
+};
+
+} // namespace
+
+void ControlService::watch(const Json::Value &Params, const Reply &Answer) {
+  auto Request = attempt([&] { return readWatch(Params); });
+  if (!Request)
+    return Answer(Request.error());
+  if (!noteWatch(Watchers_, Request->Who, Request->Start, Request->InForce,
+                 Clock_.now()))
+    return Answer(Error{ErrorCode::Refused, "a later start has been heard"});
+  Json::Value Result(Json::objectValue);
+  Result["version"] = Json::UInt64(Published_.Version.value());
+  Result["revision"] = Json::UInt64(Published_.Seen.value());
+  if (Published_.Version > Request->InForce)
+    Result["document"] = Published_.Document;
+  if (Published_.Seen > Request->Seen)
+    Result["ledgers"] = wire::write(Published_.Ledgers);
+  Answer(std::move(Result));
+}
+
+void ControlService::status(const Json::Value &Params, const Reply &Answer) {
+  auto Local =
+      attempt([&] { return json::readBoolOr(Params, "local", false); });
+  if (!Local)
+    return Answer(Local.error());
+  if (*Local)
+    return Answer(wire::write(localStatus()));
+  gatherStatus([this, Answer](ControlStatus Report) {
+    if (Options_.ExpectedVms)
+      addNeverSeen(Report.Watchers, Options_.ExpectedVms(Published_.Document),
+                   Clock_.now() - Started_);
+    Answer(wire::write(Report));
+  });
+}
+
+ControlStatus ControlService::localStatus() const {
+  const Replica &State = Runner_->replica();
+  ControlStatus Report;
+  Report.Version = Published_.Version;
+  for (const MemberId &Voter : State.Raft.Group.Members.Voters)
+    Report.Voters.push_back(Voter.Vm);
+  Report.Watchers = report(Watchers_, Clock_.now());
+  Report.History.assign(State.Machine.History.begin(),
+                        State.Machine.History.end());
+  Report.ControlVms.push_back({Options_.Self, !Runner_->failed(),
+                               roleName(State.Raft.Current), Published_.Version,
+                               Clock_.now() - Started_});
+  return Report;
+}
+
+void ControlService::gatherStatus(StatusCallback Done) {
+  auto Work = std::make_shared<Gathering>();
+  Work->Report = localStatus();
+  for (const ControlPeer &Peer : Options_.ControlVms)
+    if (Peer.Vm != Options_.Self)
+      Work->Report.ControlVms.push_back({Peer.Vm, false, "", {}, {}});
+  Work->Awaited = Options_.ControlVms.size() - 1;
+  if (Work->Awaited == 0)
+    return Done(std::move(Work->Report));
+  Json::Value Params(Json::objectValue);
+  Params["local"] = true;
+  auto Take = [Work,
+               Done = std::move(Done)](const Outcome<Json::Value> &Result) {
+    if (Result) {
+      auto Other = attempt([&] { return wire::readStatus(*Result); });
+      if (Other)
+        merge(Work->Report, *Other);
+    }
+    if (--Work->Awaited == 0)
+      Done(std::move(Work->Report));
+  };
+  for (const ControlPeer &Peer : Options_.ControlVms)
+    if (Peer.Vm != Options_.Self)
+      Client_.call(Peer.At, "control.status", Params, StatusTimeout, Take);
+}
+
+void ControlService::publish() {
+  const MachineState &Machine = Runner_->replica().Machine;
+  if (Machine.Seen > Published_.Seen)
+    Published_ = viewOf(Machine);
+}
+
+} // namespace geraniumbay::control
--- /dev/null
+++ b/src/control/internal/controlservice.cpp
@@ -0,0 +1,294 @@
+//===- controlservice.cpp - One control VM on the network -----------------===//
+//
+// Start, the timer, consensus messages and proposals. Watching and status are
+// in controlreports.cpp.
+//
+//===----------------------------------------------------------------------===//
+
+#include "control/internal/controlservice.h"
+
+#include "control/internal/wire.h"
+#include "framework/log/log.h"
+
+#include <algorithm>
+
+namespace geraniumbay::control {
+
+namespace {
+
+constexpr const char *Module = "control";
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration MessageTimeout = std::chrono::seconds(1);
+constexpr Duration SnapshotTimeout = std::chrono::seconds(10);
+constexpr Duration ForwardTimeout = std::chrono::seconds(4);
+/// The operation id of the first document.
+constexpr const char *FirstOperation = "first";
+/// A primary whose ledger process was heard this recently is not replaced.
+constexpr Duration PrimarySilence = std::chrono::seconds(3);
+
+RaftSettings raftSettings(const ControlOptions &Options) {
+  RaftSettings Settings;
+  for (const ControlPeer &Peer : Options.ControlVms)
+    Settings.ControlVms.push_back(Peer.Vm);
+  std::sort(Settings.ControlVms.begin(), Settings.ControlVms.end());
+  Settings.MayFound = Options.MayFound;
+  return Settings;
+}
+
+/// A number that this VM has certainly not drawn before; never 0.
+Generation freshGeneration(Random &Source) {
+  return Generation((Source.bits() >> 1U) + 1);
+}
+
+bool isAnswer(const MessageBody &Body) {
+  return std::holds_alternative<VoteResponse>(Body) ||
+         std::holds_alternative<AppendResponse>(Body) ||
+         std::holds_alternative<FindGroupAnswer>(Body);
+}
+
+const char *methodFor(const MessageBody &Body) {
+  if (std::holds_alternative<VoteRequest>(Body))
+    return "control.vote";
+  if (std::holds_alternative<AppendRequest>(Body))
+    return "control.append";
+  if (std::holds_alternative<SnapshotRequest>(Body))
+    return "control.snapshot";
+  return "control.join";
+}
+
+Outcome<Json::Value> toJson(const Outcome<ProposalAnswer> &Answer) {
+  if (!Answer)
+    return Answer.error();
+  if (const auto *Config = std::get_if<ConfigAnswer>(&*Answer))
+    return wire::write(*Config);
+  if (const auto *Ledger = std::get_if<LedgerAnswer>(&*Answer))
+    return wire::write(*Ledger);
+  return Json::Value(Json::objectValue);
+}
+
+Error noLeader() {
+  return {ErrorCode::Unavailable, "the control group has no leader now"};
+}
+
+} // namespace
+
+ControlService::ControlService(ControlOptions Options, IStorage &Storage,
+                               const IClock &Clock, ITimers &Timers,
+                               IRpcServer &Server, IRpcClient &Client)
+    : Options_(std::move(Options)), Clock_(Clock), Timers_(Timers),
+      Server_(Server), Client_(Client), Rng_(Options_.Seed),
+      Store_(Storage, freshGeneration(Rng_)), Started_(Clock.now()) {}
+
+Ret ControlService::start() {
+  BOOST_LEAF_AUTO(Found, Store_.recover());
+  if (Found.Damage)
+    logEvent(LogLevel::Error, Module, "folder_damaged",
+             {{"reason", Found.Damage->Message}});
+  logEvent(LogLevel::Info, Module, "started",
+           {{"vm", Options_.Self},
+            {"disk", Found.Disk},
+            {"group", Found.Hard.Group},
+            {"term", Found.Hard.Current},
+            {"last", lastIndex(Found.Log)}});
+  RaftState Raft =
+      startMember(raftSettings(Options_), {Options_.Self, Found.Disk},
+                  Found.Hard, std::move(Found.Log), Rng_.bits(), Clock_.now());
+  MemberOutputs Out;
+  Out.Send = [this](const Message &What) { send(What); };
+  Out.Reply = [this](const ProposalReply &What) { replied(What); };
+  Out.Handled = [this](const ReplicaEvent &What) { handled(What); };
+  Out.Failed = [this](const Error &Why) { failed(Why); };
+  Runner_ = std::make_unique<MemberRunner>(
+      startReplica(std::move(Raft), Options_.Validate), Store_, Clock_,
+      std::move(Out));
+  publish();
+  offerMethods();
+  tick();
+  return {};
+}
+
+void ControlService::offerMethods() {
+  auto Offer = [this](const char *Name, auto Member) {
+    Server_.method(Name,
+                   [this, Member](const Json::Value &Params, Reply Answer) {
+                     (this->*Member)(Params, std::move(Answer));
+                   });
+  };
+  for (const char *Name :
+       {"control.vote", "control.append", "control.snapshot", "control.join"})
+    Offer(Name, &ControlService::receive);
+  Offer("control.propose", &ControlService::propose);
+  Offer("control.ledger", &ControlService::changeLedger);
+  Offer("control.remove", &ControlService::remove);
+  Offer("control.watch", &ControlService::watch);
+  Offer("control.status", &ControlService::status);
+}
+
+void ControlService::tick() {
+  if (Runner_->failed())
+    return;
+  if (!Runner_->busy())
+    Runner_->post(Tick{});
+  proposeFirst();
+  Timers_.after(TickInterval, [this] { tick(); });
+}
+
+void ControlService::receive(const Json::Value &Params, Reply Answer) {
+  auto What = attempt([&] { return wire::readMessage(Params); });
+  if (!What)
+    return Answer(What.error());
+  if (isAnswer(What->Body) || !peer(What->From.Vm))
+    return Answer(Error{ErrorCode::Refused, "not for a control VM"});
+  What->Call = ++LastCall_;
+  Calls_[What->Call] = std::move(Answer);
+  std::uint64_t Call = What->Call;
+  if (Runner_->post(Received{std::move(*What)}))
+    return;
+  Calls_.extract(Call).mapped()(
+      Error{ErrorCode::Unavailable, "the member is overloaded or has failed"});
+}
+
+void ControlService::send(const Message &What) {
+  if (isAnswer(What.Body)) {
+    if (auto Call = Calls_.extract(What.Call))
+      Call.mapped()(wire::write(What));
+    return;
+  }
+  const ControlPeer *To = peer(What.To.Vm);
+  if (!To)
+    return;
+  bool Large = std::holds_alternative<SnapshotRequest>(What.Body);
+  Client_.call(To->At, methodFor(What.Body), wire::write(What),
+               Large ? SnapshotTimeout : MessageTimeout,
+               [this, Vm = To->Vm](const Outcome<Json::Value> &Result) {
+                 if (!Result)
+                   return;
+                 auto Back =
+                     attempt([&] { return wire::readMessage(*Result); });
+                 if (Back && isAnswer(Back->Body) && Back->From.Vm == Vm)
+                   Runner_->post(Received{std::move(*Back)});
+               });
+}
+
+void ControlService::handled(const ReplicaEvent &What) {
+  publish();
+  const auto *From = std::get_if<Received>(&What);
+  if (!From)
+    return;
+  if (auto Call = Calls_.extract(From->Body.Call))
+    Call.mapped()(Error{ErrorCode::Unavailable, "the message has no answer"});
+}
+
+void ControlService::failed(const Error &Why) {
+  logEvent(LogLevel::Error, Module, "disk_failed", {{"reason", Why.Message}});
+  for (auto &[Call, Answer] : std::exchange(Calls_, {}))
+    Answer(Error{ErrorCode::Unavailable, "the member's disk has failed"});
+  for (auto &[Id, Answer] : std::exchange(Proposals_, {}))
+    Answer(Error{ErrorCode::Timeout, "the member's disk has failed"});
+}
+
+bool ControlService::leads() const {
+  return !Runner_->failed() && mayPropose(Runner_->replica().Raft);
+}
+
+void ControlService::propose(const Json::Value &Params, const Reply &Answer) {
+  auto Change = attempt([&] { return wire::readConfigChange(Params); });
+  if (!Change)
+    return Answer(Change.error());
+  if (Change->Operation.value().empty() ||
+      !wire::isRepresentable(Change->Operation.value()) ||
+      !wire::isRepresentable(Change->Document))
+    return Answer(Error{ErrorCode::InvalidArgument,
+                        "the operation id is empty or a text is not UTF-8"});
+  if (!leads())
+    return forward("control.propose", Params, Answer);
+  submit(std::move(*Change), Answer);
+}
+
+void ControlService::changeLedger(const Json::Value &Params,
+                                  const Reply &Answer) {
+  auto Change = attempt([&] { return wire::readLedgerChange(Params); });
+  if (!Change)
+    return Answer(Change.error());
+  if (!leads())
+    return forward("control.ledger", Params, Answer);
+  if (Change->Action == LedgerAction::Promote)
+    return promote(std::move(*Change), Answer);
+  submit(std::move(*Change), Answer);
+}
+
+void ControlService::promote(LedgerChange Change, const Reply &Answer) {
+  gatherStatus(
+      [this, Change = std::move(Change), Answer](const ControlStatus &Seen) {
+        auto Found = Published_.Ledgers.find(Change.DataCentre);
+        if (Found == Published_.Ledgers.end() ||
+            Found->second.Number != Change.Base)
+          return submit(Change, Answer);
+        const LedgerView &View = Found->second;
+        bool Lost = std::any_of(
+            View.Lost.begin(), View.Lost.end(),
+            [&](const LedgerMember &Old) { return Old.Vm == View.Primary; });
+        if (!Lost && ledgerSeen(Seen.Watchers, View.Primary, PrimarySilence))
+          return Answer(wire::write(LedgerAnswer{ErrorCode::Refused, View}));
+        submit(Change, Answer);
+      });
+}
+
+void ControlService::proposeFirst() {
+  if (ProposedFirst_ || Options_.FirstDocument.empty() || !leads() ||
+      Published_.Version != ConfigVersion(0))
+    return;
+  ProposedFirst_ = true;
+  ConfigChange First{OperationId(FirstOperation), ConfigVersion(0),
+                     Options_.FirstDocument};
+  submit(std::move(First), [](const Outcome<Json::Value> &Result) {
+    if (!Result)
+      logEvent(LogLevel::Error, Module, "first_document_refused",
+               {{"reason", Result.error().Message}});
+  });
+}
+
+void ControlService::remove(const Json::Value &Params, const Reply &Answer) {
+  auto Vm = attempt([&] { return wire::readName<VmId>(Params, "vm"); });
+  if (!Vm)
+    return Answer(Vm.error());
+  if (!leads())
+    return forward("control.remove", Params, Answer);
+  submit(RemoveVoter{std::move(*Vm)}, Answer);
+}
+
+void ControlService::forward(const char *Method, Json::Value Params,
+                             const Reply &Answer) {
+  const auto &Leader = Runner_->replica().Raft.Leader;
+  const ControlPeer *To = Leader ? peer(Leader->Vm) : nullptr;
+  bool Again = Params.isMember("forwarded");
+  if (!To || Again || To->Vm == Options_.Self || Runner_->failed())
+    return Answer(noLeader());
+  Params["forwarded"] = true;
+  Client_.call(
+      To->At, Method, std::move(Params), ForwardTimeout,
+      [Answer](Outcome<Json::Value> Result) { Answer(std::move(Result)); });
+}
+
+void ControlService::submit(ProposalBody Body, const Reply &Answer) {
+  ProposalId Id(++LastProposal_);
+  Proposals_[Id] = Answer;
+  if (Runner_->post(Submit{Id, std::move(Body)}))
+    return;
+  Proposals_.extract(Id).mapped()(
+      Error{ErrorCode::Unavailable, "the member is overloaded or has failed"});
+}
+
+void ControlService::replied(const ProposalReply &What) {
+  if (auto Proposal = Proposals_.extract(What.Id))
+    Proposal.mapped()(toJson(What.Answer));
+}
+
+const ControlPeer *ControlService::peer(const VmId &Vm) const {
+  for (const ControlPeer &Peer : Options_.ControlVms)
+    if (Peer.Vm == Vm)
+      return &Peer;
+  return nullptr;
+}
+
+} // namespace geraniumbay::control
--- /dev/null
+++ b/src/control/internal/controlservice.h
@@ -0,0 +1,104 @@
+//===- controlservice.h - One control VM on the network ---------*- C++ -*-===//
+//
+// The adapter around one member of the control group: JSON-RPC in and out, the
+// timer, the disk. Consensus messages are RPC calls whose result is the answer
+// message.
+//
+//   control.vote, control.append, control.snapshot, control.join
+//     consensus messages between control VMs
+//   control.propose {operation, base, document} -> {version, failure}
+//   control.ledger  {change} -> {view, failure}
+//   control.remove  {vm} -> {}
+//     forwarded once to the leader; Unavailable if there is none
+//   control.watch   {vm, process, incarnation, in_force, revision}
+//     -> {version, revision, document?, ledgers?}, from what is applied here
+//   control.status  {} -> the merged report; {local: true} -> this VM's own
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
+#define GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
+
+#include "control/controloptions.h"
+#include "control/internal/memberrunner.h"
+#include "control/internal/watchtable.h"
+#include "framework/clock/itimers.h"
+#include "framework/rpc/irpcclient.h"
+#include "framework/rpc/irpcserver.h"
+
+namespace geraniumbay::control {
+
+/// One control VM. Lives as long as the loop.
+class ControlService {
+public:
+  ControlService(ControlOptions Options, IStorage &Storage, const IClock &Clock,
+                 ITimers &Timers, IRpcServer &Server, IRpcClient &Client);
+
+  /// Recovers the member from its disk, offers the methods and starts to tick.
+  /// Fails with Io if the disk cannot be used.
+  Ret start();
+
+  /// What watchers of this VM see.
+  const ConfigSnapshot &published() const { return Published_; }
+
+private:
+  using Reply = IRpcServer::Reply;
+  using StatusCallback = std::function<void(ControlStatus)>;
+
+  void offerMethods();
+  void tick();
+
+  // Consensus messages.
+  void receive(const Json::Value &Params, Reply Answer);
+  void send(const Message &What);
+  void handled(const ReplicaEvent &What);
+  void failed(const Error &Why);
+
+  // Proposals.
+  void propose(const Json::Value &Params, const Reply &Answer);
+  void changeLedger(const Json::Value &Params, const Reply &Answer);
+  void promote(LedgerChange Change, const Reply &Answer);
+  void remove(const Json::Value &Params, const Reply &Answer);
+  /// Proposes the first document if this leader's group has none.
+  void proposeFirst();
+  bool leads() const;
+  void forward(const char *Method, Json::Value Params, const Reply &Answer);
+  void submit(ProposalBody Body, const Reply &Answer);
+  void replied(const ProposalReply &Reply);
+
+  // Watching and status.
+  void watch(const Json::Value &Params, const Reply &Answer);
+  void status(const Json::Value &Params, const Reply &Answer);
+  ControlStatus localStatus() const;
+  /// Asks every other control VM and calls back once with what has come.
+  void gatherStatus(StatusCallback Done);
+  void publish();
+
+  const ControlPeer *peer(const VmId &Vm) const;
+
+  ControlOptions Options_;
+  const IClock &Clock_;
+  ITimers &Timers_;
+  IRpcServer &Server_;
+  IRpcClient &Client_;
+  Random Rng_;
+  MemberStore Store_;
+  /// Null until start().
+  std::unique_ptr<MemberRunner> Runner_;
+  Time Started_;
+
+  std::uint64_t LastCall_ = 0;
+  /// Consensus messages received and not yet answered, by Message::Call.
+  std::map<std::uint64_t, Reply> Calls_;
+  std::uint64_t LastProposal_ = 0;
+  std::map<ProposalId, Reply> Proposals_;
+  /// The first document has been proposed by this process.
+  bool ProposedFirst_ = false;
+  WatchTable Watchers_;
+  /// Applied and durable: unlike the replica's machine, never ahead of a sync.
+  ConfigSnapshot Published_;
+};
+
+} // namespace geraniumbay::control
+
+#endif // GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
--- a/src/control/internal/machine.h
+++ b/src/control/internal/machine.h
@@ -16,7 +16,6 @@
 #define GERANIUMBAY_CONTROL_INTERNAL_MACHINE_H
 
 #include "control/configtypes.h"
-#include "framework/errors/error.h"
 
 #include <deque>
 #include <map>
@@ -30,27 +29,6 @@
 /// How many accepted changes the history shows.
 constexpr std::size_t MaxHistory = 256;
 
-/// The answer to a committed change of the configuration.
-struct ConfigAnswer {
-  /// None, or Conflict (another change won) or InvalidArgument (the operation
-  /// id was used for a different change).
-  std::optional<ErrorCode> Failure;
-  /// The version the change made, or the version in force if it failed.
-  ConfigVersion Version;
-
-  bool operator==(const ConfigAnswer &) const = default;
-};
-
-/// The answer to a committed change of a ledger view.
-struct LedgerAnswer {
-  /// None, or Conflict (the view has moved on) or Refused (not allowed in it).
-  std::optional<ErrorCode> Failure;
-  /// The view in force after the change; empty if there is none.
-  std::optional<LedgerView> View;
-
-  bool operator==(const LedgerAnswer &) const = default;
-};
-
 /// An operation that was applied, with its first answer.
 struct RememberedOperation {
   /// Of base and document, to tell a resend from a different change.
--- a/src/control/internal/machinewire.cpp
+++ b/src/control/internal/machinewire.cpp
@@ -10,24 +10,17 @@
 
 namespace {
 
-constexpr const char *ConflictName = "conflict";
-constexpr const char *MisusedName = "misused";
-
 /// One remembered operation with its id.
 struct NamedOperation {
   OperationId Operation;
   RememberedOperation Remembered;
 };
 
-Json::Value write(const NamedOperation &Value) {
+Json::Value writeOperation(const NamedOperation &Value) {
   Json::Value Result(Json::objectValue);
   Result["operation"] = Value.Operation.value();
   Result["digest"] = Json::UInt64(Value.Remembered.Digest);
-  const ConfigAnswer &Answer = Value.Remembered.Answer;
-  Result["version"] = Json::UInt64(Answer.Version.value());
-  if (Answer.Failure)
-    Result["failure"] =
-        *Answer.Failure == ErrorCode::Conflict ? ConflictName : MisusedName;
+  Result["answer"] = write(Value.Remembered.Answer);
   return Result;
 }
 
@@ -35,15 +28,13 @@
   NamedOperation Result;
   BOOST_LEAF_ASSIGN(Result.Operation, readName<OperationId>(From, "operation"));
   BOOST_LEAF_ASSIGN(Result.Remembered.Digest, json::readUint(From, "digest"));
-  ConfigAnswer &Answer = Result.Remembered.Answer;
-  BOOST_LEAF_ASSIGN(Answer.Version, readNumber<ConfigVersion>(From, "version"));
-  BOOST_LEAF_AUTO(Failure, json::readStringOr(From, "failure", ""));
-  if (!Failure.empty())
-    Answer.Failure = Failure == ConflictName ? ErrorCode::Conflict
-                                             : ErrorCode::InvalidArgument;
+  BOOST_LEAF_AUTO(Answer, json::readObject(From, "answer"));
+  BOOST_LEAF_ASSIGN(Result.Remembered.Answer, readConfigAnswer(Answer));
   return Result;
 }
 
+} // namespace
+
 Json::Value write(const ChangeRecord &Value) {
   Json::Value Result(Json::objectValue);
   Result["version"] = Json::UInt64(Value.Version.value());
@@ -58,13 +49,12 @@
   return Result;
 }
 
-} // namespace
-
 Json::Value write(const MachineState &Value) {
   Json::Value Result = write(viewOf(Value));
   Json::Value Operations(Json::arrayValue);
   for (const OperationId &Id : Value.OperationOrder)
-    Operations.append(write(NamedOperation{Id, Value.Operations.at(Id)}));
+    Operations.append(
+        writeOperation(NamedOperation{Id, Value.Operations.at(Id)}));
   Result["operations"] = std::move(Operations);
   Json::Value History(Json::arrayValue);
   for (const ChangeRecord &Record : Value.History)
--- /dev/null
+++ b/src/control/internal/statuswire.cpp
@@ -0,0 +1,106 @@
+//===- statuswire.cpp - JSON form of reports ------------------------------===//
+//
+// What control.status carries.
+//
+//===----------------------------------------------------------------------===//
+
+#include "control/internal/wire.h"
+
+namespace geraniumbay::control::wire {
+
+namespace {
+
+Json::Int64 toMillis(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+RetVal<Duration> readMillis(const Json::Value &From, const char *Name) {
+  BOOST_LEAF_AUTO(Millis, json::readUint(From, Name));
+  return Duration(std::chrono::milliseconds(Millis));
+}
+
+Json::Value write(const WatcherStatus &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["vm"] = Value.Who.Vm.value();
+  Result["process"] = Value.Who.Process;
+  Result["incarnation"] = Json::UInt64(Value.Start.value());
+  Result["in_force"] = Json::UInt64(Value.InForce.value());
+  Result["age_ms"] = toMillis(Value.Age);
+  Result["never_seen"] = Value.NeverSeen;
+  Result["cut_off"] = isCutOff(Value);
+  return Result;
+}
+
+RetVal<WatcherStatus> readWatcher(const Json::Value &From) {
+  WatcherStatus Result;
+  BOOST_LEAF_ASSIGN(Result.Who.Vm, readName<VmId>(From, "vm"));
+  BOOST_LEAF_ASSIGN(Result.Who.Process, json::readString(From, "process"));
+  BOOST_LEAF_ASSIGN(Result.Start, readNumber<Incarnation>(From, "incarnation"));
+  BOOST_LEAF_ASSIGN(Result.InForce,
+                    readNumber<ConfigVersion>(From, "in_force"));
+  BOOST_LEAF_ASSIGN(Result.Age, readMillis(From, "age_ms"));
+  BOOST_LEAF_ASSIGN(Result.NeverSeen,
+                    json::readBoolOr(From, "never_seen", false));
+  return Result;
+}
+
+Json::Value write(const ControlVmStatus &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["vm"] = Value.Vm.value();
+  Result["reachable"] = Value.Reachable;
+  Result["role"] = Value.Role;
+  Result["version"] = Json::UInt64(Value.Version.value());
+  Result["uptime_ms"] = toMillis(Value.Uptime);
+  return Result;
+}
+
+RetVal<ControlVmStatus> readControlVm(const Json::Value &From) {
+  ControlVmStatus Result;
+  BOOST_LEAF_ASSIGN(Result.Vm, readName<VmId>(From, "vm"));
+  BOOST_LEAF_ASSIGN(Result.Reachable,
+                    json::readBoolOr(From, "reachable", false));
+  BOOST_LEAF_ASSIGN(Result.Role, json::readString(From, "role"));
+  BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
+  BOOST_LEAF_ASSIGN(Result.Uptime, readMillis(From, "uptime_ms"));
+  return Result;
+}
+
+RetVal<VmId> readVoter(const Json::Value &From) {
+  return readName<VmId>(From, "vm");
+}
+
+} // namespace
+
+Json::Value write(const ControlStatus &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["version"] = Json::UInt64(Value.Version.value());
+  Result["control_vms"] = Json::Value(Json::arrayValue);
+  for (const ControlVmStatus &Vm : Value.ControlVms)
+    Result["control_vms"].append(write(Vm));
+  Result["voters"] = Json::Value(Json::arrayValue);
+  for (const VmId &Vm : Value.Voters) {
+    Json::Value Voter(Json::objectValue);
+    Voter["vm"] = Vm.value();
+    Result["voters"].append(std::move(Voter));
+  }
+  Result["watchers"] = Json::Value(Json::arrayValue);
+  for (const WatcherStatus &Status : Value.Watchers)
+    Result["watchers"].append(write(Status));
+  Result["history"] = writeList(Value.History);
+  return Result;
+}
+
+RetVal<ControlStatus> readStatus(const Json::Value &From) {
+  ControlStatus Result;
+  BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
+  BOOST_LEAF_ASSIGN(Result.ControlVms, readList<ControlVmStatus>(
+                                           From, "control_vms", readControlVm));
+  BOOST_LEAF_ASSIGN(Result.Voters, readList<VmId>(From, "voters", readVoter));
+  BOOST_LEAF_ASSIGN(Result.Watchers,
+                    readList<WatcherStatus>(From, "watchers", readWatcher));
+  BOOST_LEAF_ASSIGN(Result.History,
+                    readList<ChangeRecord>(From, "history", readChange));
+  return Result;
+}
+
+} // namespace geraniumbay::control::wire
--- a/src/control/internal/wire.cpp
+++ b/src/control/internal/wire.cpp
@@ -41,6 +41,24 @@
   return fail(ErrorCode::InvalidArgument, "unknown ledger action");
 }
 
+constexpr std::array<ErrorCode, 3> AnswerCodes = {
+    ErrorCode::Conflict, ErrorCode::InvalidArgument, ErrorCode::Refused};
+
+void writeFailure(Json::Value &To, const std::optional<ErrorCode> &Failure) {
+  if (Failure)
+    To["failure"] = errorCodeName(*Failure);
+}
+
+RetVal<std::optional<ErrorCode>> readFailure(const Json::Value &From) {
+  BOOST_LEAF_AUTO(Name, json::readStringOr(From, "failure", ""));
+  if (Name.empty())
+    return std::optional<ErrorCode>();
+  for (ErrorCode Code : AnswerCodes)
+    if (Name == errorCodeName(Code))
+      return std::optional<ErrorCode>(Code);
+  return fail(ErrorCode::InvalidArgument, "unknown failure");
+}
+
 } // namespace
 
 Json::Value write(const LedgerMember &Value) {
@@ -162,6 +180,38 @@
   return Result;
 }
 
+Json::Value write(const ConfigAnswer &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["version"] = Json::UInt64(Value.Version.value());
+  writeFailure(Result, Value.Failure);
+  return Result;
+}
+
+RetVal<ConfigAnswer> readConfigAnswer(const Json::Value &From) {
+  ConfigAnswer Result;
+  BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
+  BOOST_LEAF_ASSIGN(Result.Failure, readFailure(From));
+  return Result;
+}
+
+Json::Value write(const LedgerAnswer &Value) {
+  Json::Value Result(Json::objectValue);
+  if (Value.View)
+    Result["view"] = write(*Value.View);
+  writeFailure(Result, Value.Failure);
+  return Result;
+}
+
+RetVal<LedgerAnswer> readLedgerAnswer(const Json::Value &From) {
+  LedgerAnswer Result;
+  BOOST_LEAF_ASSIGN(Result.Failure, readFailure(From));
+  if (!From.isMember("view"))
+    return Result;
+  BOOST_LEAF_AUTO(View, json::readObject(From, "view"));
+  BOOST_LEAF_ASSIGN(Result.View, readLedgerView(View));
+  return Result;
+}
+
 bool isRepresentable(const std::string &Text) {
   Json::Value Array(Json::arrayValue);
   Array.append(Text);
--- a/src/control/internal/wire.h
+++ b/src/control/internal/wire.h
@@ -8,6 +8,7 @@
 #ifndef GERANIUMBAY_CONTROL_INTERNAL_WIRE_H
 #define GERANIUMBAY_CONTROL_INTERNAL_WIRE_H
 
+#include "control/controlstatus.h"
 #include "control/internal/rafttypes.h"
 #include "framework/json/json.h"
 
@@ -27,10 +28,20 @@
 RetVal<ConfigChange> readConfigChange(const Json::Value &From);
 Json::Value write(const ConfigSnapshot &Value);
 RetVal<ConfigSnapshot> readConfigSnapshot(const Json::Value &From);
+Json::Value write(const ConfigAnswer &Value);
+RetVal<ConfigAnswer> readConfigAnswer(const Json::Value &From);
+Json::Value write(const LedgerAnswer &Value);
+RetVal<LedgerAnswer> readLedgerAnswer(const Json::Value &From);
 /// Whether \p Text comes back unchanged from JSON (it is valid UTF-8).
 bool isRepresentable(const std::string &Text);
 
+// Reports (statuswire.cpp).
+Json::Value write(const ControlStatus &Value);
+RetVal<ControlStatus> readStatus(const Json::Value &From);
+
 // The replicated state (machinewire.cpp).
+Json::Value write(const ChangeRecord &Value);
+RetVal<ChangeRecord> readChange(const Json::Value &From);
 Json::Value write(const MachineState &Value);
 RetVal<MachineState> readMachine(const Json::Value &From);
 
