Serve small requests of a team first (v3)

A request now goes as if it had arrived later by 0.3 times the run time of all its tasks, so that a large one is passed by small ones for a bounded time only.

Two adapter tests took for granted that two requests of one turn are served in order of arrival; they now let the first one be served before the second is asked for, and check the same as before.

--- a/src/dispatch/tests/adaptertest.cpp
+++ b/src/dispatch/tests/adaptertest.cpp
@@ -208,6 +208,7 @@
 
 TEST_F(AdapterTest, ARequestThatItsOwnerForgotIsRejected) {
   ask("fill", 2);
+  run();
   ask("r");
   run();
   // The owner drops it behind the client's back.
@@ -221,6 +222,7 @@
 
 TEST_F(AdapterTest, ARejectionThatWasLostIsLearnedByRenewal) {
   ask("fill", 2);
+  run();
   ask("r");
   run();
   Network.Fates["pool.reject"] = Fate::Refused;
--- a/src/dispatch/tests/pooltest.cpp
+++ b/src/dispatch/tests/pooltest.cpp
@@ -69,6 +69,19 @@
   EXPECT_NEAR(countOf(serveOneByOne(Fixture, 50), "idle"), 25, 1);
 }
 
+TEST(PoolTest, ASmallRequestGoesBeforeALargeOneOfItsTeamButNotForEver) {
+  PoolFixture Fixture(longQueue());
+  Fixture.addWorkers(1, 1);
+  Fixture.ask(request("large", 20));
+  Fixture.ask(request("small", 2));
+  auto Order = serveOneByOne(Fixture, 2);
+  EXPECT_EQ(countOf(Order, "small"), 2);
+  // The large one counts as 0.3 times 20 tasks of 100 ms later.
+  Fixture.Clock.advance(milliseconds(700));
+  Fixture.ask(request("later", 2));
+  EXPECT_EQ(countOf(serveOneByOne(Fixture, 2), "large"), 2);
+}
+
 TEST(PoolTest, AQuotaBoundsTheLeasesOfATeam) {
   PoolPolicy Policy = longQueue();
   Policy.Teams[TeamId("t")].MaxLeases = 3;
--- a/src/model/policies.cpp
+++ b/src/model/policies.cpp
@@ -30,6 +30,7 @@
 Policy version1() {
   Policy Result;
   Result.Name = "v1";
+  Result.Pool.SizeRank = 0;
   Result.Route.RemotePenalty = std::chrono::hours(1);
   return Result;
 }
@@ -42,11 +43,19 @@
   return Result;
 }
 
+/// Within a team, small requests go first.
+Policy version3() {
+  Policy Result = version2();
+  Result.Name = "v3";
+  Result.Pool.SizeRank = dispatch::PoolPolicy().SizeRank;
+  return Result;
+}
+
 } // namespace
 
 const std::vector<Policy> &policies() {
   static const std::vector<Policy> All = {naive(), central(), version1(),
-                                          version2()};
+                                          version2(), version3()};
   return All;
 }
 
