Keep claims and answers of a data centre on two disks

A job must never start twice, so its claim has to be durable before its tasks start, and to survive the loss of a VM, of its disk, and of a view.

A primary writes records to a log of its own and of every member of the view that control decides; a reply leaves when all have synced it. Ruled out: a majority of three, as a data centre has two VMs with a disk; and truncating a member's log to match, as a copy of the whole ledger is simpler and rare. A new member is waited for from before it is proposed to control until a newer view is known, since control may have added it without the primary knowing. A place in the log carries the view and the start of its primary, as a restart can write another record in the place of one that was sent but not synced.

Retention and the refusal of callers' own keys follow the age of the ledger, which grows with the monotonic clock, so that no step of the wall clock ends them early.

--- /dev/null
+++ b/src/ledger/tests/replicationtest.cpp
@@ -0,0 +1,278 @@
+//===- replicationtest.cpp - Focused failures of a replicated ledger ------===//
+
+#include "ledger/tests/cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace geraniumbay::ledger {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Two ledgers (0, 1) and two entries (2, 3), with a full view.
+class ReplicationTest : public testing::Test {
+public:
+  ReplicationTest() : System(2, 2, 1) {
+    EXPECT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+    First = System.primary()->Number;
+    Second = 1 - First;
+  }
+
+  ClaimState state(const Outcome<ClaimReply> &Reply) {
+    EXPECT_TRUE(Reply.ok()) << Reply.error().Message;
+    return Reply ? Reply->State : ClaimState::Mismatch;
+  }
+  void restart(std::size_t Number) {
+    System.crash(Number);
+    System.start(Number);
+  }
+  void wipe(std::size_t Number) {
+    System.crash(Number);
+    System.at(Number).Disk.wipe();
+    System.start(Number);
+  }
+
+  Cluster System;
+  std::size_t First = 0;
+  std::size_t Second = 0;
+};
+
+TEST_F(ReplicationTest, AClaimIsGrantedOnceAndItsAnswerGivenToAll) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(state(System.claim(3, Id, "d", seconds(1))), ClaimState::Held);
+  EXPECT_EQ(state(System.claim(3, Id, "other")), ClaimState::Mismatch);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  auto Later = System.claim(3, Id);
+  EXPECT_EQ(state(Later), ClaimState::Answered);
+  EXPECT_EQ(Later->Answer, "yes");
+}
+
+TEST_F(ReplicationTest, AWaitingClaimantGetsTheAnswerWhenItIsRecorded) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  Time Began = System.Clock.now();
+  std::optional<Outcome<ClaimReply>> Waiting;
+  System.at(3).Client->claim(
+      DataCentreId("dc"), SubmissionId(Id), "d", Began + seconds(20),
+      [&](const Outcome<ClaimReply> &Reply) { Waiting.emplace(Reply); });
+  System.run(milliseconds(500));
+  EXPECT_FALSE(Waiting.has_value());
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  System.runUntil([&] { return Waiting.has_value(); });
+  EXPECT_EQ(state(*Waiting), ClaimState::Answered);
+  EXPECT_LT(System.Clock.now() - Began, seconds(1));
+}
+
+TEST_F(ReplicationTest, AReleasedClaimIsGrantedToAnother) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_TRUE(System.release(2, Id).ok());
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, ARestartedHolderGetsTheFailureThatItMayHaveRun) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  restart(2);
+  System.run(seconds(1));
+  auto Reply = System.claim(2, Id);
+  EXPECT_EQ(state(Reply), ClaimState::Answered);
+  EXPECT_EQ(Reply->Answer, HolderLostAnswer);
+}
+
+TEST_F(ReplicationTest, ASilentHolderIsFencedAndItsLateAnswerRefused) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  System.freeze(2);
+  auto Reply = System.claim(3, Id, "d", seconds(20));
+  EXPECT_EQ(state(Reply), ClaimState::Answered);
+  System.thaw(2);
+  EXPECT_EQ(*System.record(2, Id, "late"), HolderLostAnswer);
+}
+
+TEST_F(ReplicationTest, AHolderThatRenewsIsNeverFenced) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(state(System.claim(3, Id, "d", seconds(40))), ClaimState::Held);
+}
+
+TEST_F(ReplicationTest, APrimaryThatWasFrozenDoesNotFenceLivingHolders) {
+  std::string Id = System.issue(1);
+  System.WithoutControl = {First, Second};
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  System.freeze(First);
+  System.run(seconds(30));
+  System.thaw(First);
+  EXPECT_EQ(state(System.claim(3, Id, "d", seconds(1))), ClaimState::Held);
+}
+
+TEST_F(ReplicationTest, ThePromotedMemberHasEveryAnswer) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  System.crash(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(1); }));
+  EXPECT_EQ(System.primary()->Number, Second);
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+}
+
+TEST_F(ReplicationTest, ADeposedPrimaryThatComesBackLateGrantsNothing) {
+  System.freeze(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(1); }));
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  // The old primary and entry 3 are cut off together.
+  for (std::size_t Other : {Second, std::size_t{2}}) {
+    System.setCut(First, Other, true);
+    System.setCut(3, Other, true);
+  }
+  LedgerView Old = System.View;
+  Old.Primary = System.vm(First);
+  Old.Number = ViewNumber(Old.Number.value() + 100);
+  System.WithoutControl = {First, 3};
+  System.at(3).Client->applyView(Old);
+  System.thaw(First);
+  auto Reply = System.claim(3, Id);
+  EXPECT_FALSE(Reply.ok());
+}
+
+TEST_F(ReplicationTest,
+       WithoutItsSecondCopyAPrimaryWithoutControlTakesNothing) {
+  System.WithoutControl = {First, Second};
+  System.crash(Second);
+  System.run(seconds(3));
+  auto Reply = System.claim(2, System.issue(1));
+  ASSERT_FALSE(Reply.ok());
+  EXPECT_EQ(Reply.error().Code, ErrorCode::Unavailable);
+  System.start(Second);
+  System.run(seconds(3));
+  EXPECT_EQ(state(System.claim(2, System.issue(1))), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, AMemberLostRightAfterTheRepairLosesNothing) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  wipe(Second);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  wipe(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(System.View.LedgerEpoch, Epoch(1));
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+}
+
+TEST_F(ReplicationTest, AfterATotalLossNoOlderIdIsGranted) {
+  std::string Old = System.issue(1);
+  std::string Unused = System.issue(2);
+  EXPECT_EQ(state(System.claim(2, Old)), ClaimState::Granted);
+  System.crash(First);
+  wipe(Second);
+  wipe(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(System.View.LedgerEpoch, Epoch(2));
+  EXPECT_EQ(state(System.claim(3, Old)), ClaimState::UnknownEpoch);
+  EXPECT_EQ(state(System.claim(3, Unused)), ClaimState::UnknownEpoch);
+  EXPECT_EQ(state(System.claim(3, System.issue(3))), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, AfterATotalLossOwnKeysWaitOutTheRetention) {
+  EXPECT_EQ(state(System.claim(2, "caller/key")), ClaimState::Granted);
+  System.crash(First);
+  wipe(Second);
+  wipe(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  // A wall clock that jumps ahead must not end the wait.
+  System.Clock.stepWall(hours(48));
+  auto Early = System.claim(3, "caller/key");
+  ASSERT_FALSE(Early.ok());
+  EXPECT_EQ(Early.error().Code, ErrorCode::Unavailable);
+  System.Clock.advance(hours(25));
+  System.run(seconds(10));
+  EXPECT_EQ(state(System.claim(3, "caller/other")), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, AStepOfTheWallClockForgetsNoAnswer) {
+  EXPECT_EQ(state(System.claim(2, "caller/key")), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, "caller/key", "yes"), "yes");
+  System.Clock.stepWall(hours(1000));
+  System.run(seconds(2));
+  restart(First);
+  System.run(seconds(2));
+  EXPECT_EQ(state(System.claim(3, "caller/key")), ClaimState::Answered);
+}
+
+TEST_F(ReplicationTest, AnswersAreForgottenAfterTheRetentionOnly) {
+  EXPECT_EQ(state(System.claim(2, "caller/key")), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, "caller/key", "yes"), "yes");
+  System.Clock.advance(hours(23));
+  System.run(seconds(10));
+  EXPECT_EQ(state(System.claim(3, "caller/key")), ClaimState::Answered);
+  System.Clock.advance(hours(2));
+  System.run(seconds(10));
+  EXPECT_EQ(state(System.claim(3, "caller/key")), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, OwnKeysAreRefusedByALedgerThatControlForgot) {
+  System.WithoutControl = {First, Second, 2};
+  System.Clock.advance(hours(13));
+  System.run(seconds(10));
+  auto Reply = System.claim(2, "caller/key");
+  ASSERT_FALSE(Reply.ok());
+  EXPECT_EQ(Reply.error().Code, ErrorCode::Unavailable);
+  EXPECT_EQ(state(System.claim(2, System.issue(1))), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, AFullDiskRefusesClaimsAndStillAnswers) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  FakeStorage &Disk = System.at(First).Disk;
+  Disk.setCapacity(Disk.totalSize());
+  auto Reply = System.claim(2, System.issue(2));
+  ASSERT_FALSE(Reply.ok());
+  EXPECT_EQ(Reply.error().Code, ErrorCode::Unavailable);
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+  Disk.setCapacity(std::nullopt);
+  EXPECT_EQ(state(System.claim(2, System.issue(2))), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, ACorruptDiskJoinsAsANewMember) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  LedgerMember Before = *System.View.memberOn(System.vm(First));
+  System.crash(First);
+  FakeStorage &Disk = System.at(First).Disk;
+  auto Files = attempt([&] { return Disk.list(); });
+  Disk.flipByte(Files->front(), 30);
+  System.start(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_NE(*System.View.memberOn(System.vm(First)), Before);
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+}
+
+TEST_F(ReplicationTest, ClaimsThatArriveTogetherShareASync) {
+  std::uint64_t Records = System.primary()->Ledger->status().Records;
+  std::uint64_t Syncs = System.primary()->Ledger->status().Syncs;
+  constexpr std::uint64_t Count = 200;
+  std::uint64_t Granted = 0;
+  for (std::uint64_t Number = 0; Number < Count; ++Number)
+    System.at(2).Client->claim(
+        DataCentreId("dc"), SubmissionId(System.issue(Number)), "d",
+        System.Clock.now() + seconds(5), [&](const Outcome<ClaimReply> &Reply) {
+          Granted += Reply && Reply->State == ClaimState::Granted ? 1 : 0;
+        });
+  System.runUntil([&] { return Granted == Count; });
+  EXPECT_EQ(Granted, Count);
+  Records = System.primary()->Ledger->status().Records - Records;
+  Syncs = System.primary()->Ledger->status().Syncs - Syncs;
+  RecordProperty("records", static_cast<int>(Records));
+  RecordProperty("syncs", static_cast<int>(Syncs));
+  EXPECT_GE(Records, 10 * Syncs);
+}
+
+} // namespace
+} // namespace geraniumbay::ledger
