--- /dev/null
+++ b/src/control/tests/rafttest.cpp
@@ -0,0 +1,122 @@
+//===- rafttest.cpp - Single rules of the consensus core ------------------===//
+
+#include "control/internal/raft.h"
+#include "control/tests/groupfake.h"
+
+#include <gtest/gtest.h>
+
+namespace geraniumbay::control {
+namespace {
+
+using namespace std::chrono_literals;
+
+const MemberId Self{VmId("c0"), Generation(1)};
+const MemberId Second{VmId("c1"), Generation(2)};
+const MemberId Third{VmId("c2"), Generation(3)};
+const GroupId Group(5);
+const Time Start{1h};
+
+/// A follower of term 3 whose log has entries of the terms 1 and 2.
+RaftState follower() {
+  RaftSettings Settings;
+  Settings.ControlVms = {Self.Vm, Second.Vm, Third.Vm};
+  HardState Hard;
+  Hard.Group = Group;
+  Hard.Current = Term(3);
+  RaftLog Log;
+  Log.Base.Members.Voters = {Self, Second, Third};
+  Log.Entries = {{Term(1), Noop{}}, {Term(2), Noop{}}};
+  return startMember(Settings, Self, Hard, Log, 1, Start);
+}
+
+Actions receive(RaftState &State, const MemberId &From, std::uint64_t At,
+                MessageBody Body, Time Now = Start) {
+  return step(State, Received{{Group, From, Self, Term(At), 0, Body}}, Now);
+}
+
+bool granted(const Actions &Out) {
+  return std::get<VoteResponse>(Out.Messages.at(0).Body).Granted;
+}
+
+TEST(RaftTest, ACandidateWithAnOlderLastTermGetsNoVote) {
+  RaftState State = follower();
+  EXPECT_FALSE(granted(
+      receive(State, Second, 4, VoteRequest{false, LogIndex(9), Term(1)})));
+  EXPECT_TRUE(granted(
+      receive(State, Third, 5, VoteRequest{false, LogIndex(2), Term(2)})));
+}
+
+TEST(RaftTest, ACandidateWithAShorterLogGetsNoVote) {
+  RaftState State = follower();
+  EXPECT_FALSE(granted(
+      receive(State, Second, 4, VoteRequest{false, LogIndex(1), Term(2)})));
+}
+
+TEST(RaftTest, AVoteIsToBeOnDiskBeforeItIsGiven) {
+  RaftState State = follower();
+  Actions Out =
+      receive(State, Second, 4, VoteRequest{false, LogIndex(2), Term(2)});
+  EXPECT_TRUE(granted(Out));
+  EXPECT_TRUE(Out.ToDisk.HardChanged);
+  EXPECT_EQ(State.Hard.Vote, Second);
+  // The term changed with the vote; the vote alone is to be on disk too.
+  RaftState Later = follower();
+  Out = receive(Later, Second, 3, VoteRequest{false, LogIndex(2), Term(2)});
+  EXPECT_TRUE(granted(Out));
+  EXPECT_TRUE(Out.ToDisk.HardChanged);
+}
+
+TEST(RaftTest, AMemberThatHearsItsLeaderGivesNoVote) {
+  RaftState State = follower();
+  receive(State, Second, 3, AppendRequest{LogIndex(2), Term(2), {}, {}});
+  for (bool Pre : {true, false})
+    EXPECT_FALSE(granted(
+        receive(State, Third, 9, VoteRequest{Pre, LogIndex(2), Term(2)})));
+  EXPECT_EQ(State.Hard.Current, Term(3));
+}
+
+TEST(RaftTest, AnEntryOfAnEarlierTermCommitsOnlyThroughOneOfTheOwnTerm) {
+  RaftState State = follower();
+  Time Now = Start + 10s;
+  step(State, Tick{}, Now);
+  receive(State, Second, 4, VoteResponse{true, true}, Now);
+  receive(State, Second, 4, VoteResponse{false, true}, Now);
+  ASSERT_EQ(State.Current, Role::Leader);
+  receive(State, Second, 4, AppendResponse{true, LogIndex(2)}, Now);
+  EXPECT_EQ(State.Commit, LogIndex(0));
+  receive(State, Second, 4, AppendResponse{true, LogIndex(3)}, Now);
+  EXPECT_EQ(State.Commit, LogIndex(3));
+}
+
+TEST(RaftTest, AVoteForAnotherDiskOfTheVmIsNotAnswered) {
+  RaftState State = follower();
+  Message ToOldDisk{Group,   Second, {Self.Vm, Generation(8)},
+                    Term(4), 0,      VoteRequest{false, LogIndex(9), Term(9)}};
+  EXPECT_TRUE(step(State, Received{ToOldDisk}, Start).Messages.empty());
+}
+
+TEST(RaftTest, AMemberWithoutAGroupDoesNotVote) {
+  RaftState State = startMember(follower().Settings, Self, {}, {}, 1, Start);
+  EXPECT_TRUE(
+      receive(State, Second, 4, VoteRequest{false, LogIndex(9), Term(9)})
+          .Messages.empty());
+}
+
+TEST(RaftTest, AnswersWaitForTheDisk) {
+  GroupFake Fake(3);
+  for (std::size_t I = 0; I < 3; ++I)
+    Fake.start(I);
+  auto Leader = static_cast<std::size_t>(Fake.runToLeader());
+  Fake.run(1s);
+  Fake.change(Leader, "a", 0);
+  Fake.completeSyncs();
+  ASSERT_EQ(Fake.Net.size(), 2U);
+  Fake.deliver(0, false);
+  Fake.deliver(0, false);
+  EXPECT_TRUE(Fake.Net.empty()) << "an answer before the sync";
+  Fake.completeSyncs();
+  EXPECT_EQ(Fake.Net.size(), 2U);
+}
+
+} // namespace
+} // namespace geraniumbay::control
