--- a/src/dispatch/internal/messages.cpp
+++ b/src/dispatch/internal/messages.cpp
@@ -90,6 +90,38 @@
   return Rejection{Reason, RetryAfter};
 }
 
+void writeLoads(Json::Value &Object, const std::vector<PoolSummary> &Loads) {
+  Json::Value &Items = Object["loads"] = Json::Value(Json::arrayValue);
+  for (const PoolSummary &Each : Loads) {
+    Json::Value Item(Json::objectValue);
+    Item["service"] = Each.Service.value();
+    Item["slots"] = Each.Slots;
+    Item["free"] = Each.Free;
+    Item["urgent"] = Each.UrgentQueued;
+    Item["routine"] = Each.RoutineQueued;
+    Item["drain"] = static_cast<Json::UInt64>(Each.DrainPerSecond);
+    Items.append(std::move(Item));
+  }
+}
+
+RetVal<std::vector<PoolSummary>> readLoads(const Json::Value &Object) {
+  std::vector<PoolSummary> Loads;
+  BOOST_LEAF_AUTO(Items, json::readArray(Object, "loads"));
+  for (const Json::Value &Item : Items) {
+    PoolSummary Load;
+    BOOST_LEAF_AUTO(Service, json::readString(Item, "service"));
+    Load.Service = ServiceId(Service);
+    BOOST_LEAF_ASSIGN(Load.Slots, readCount(Item, "slots"));
+    BOOST_LEAF_ASSIGN(Load.Free, readCount(Item, "free"));
+    BOOST_LEAF_ASSIGN(Load.UrgentQueued, readCount(Item, "urgent"));
+    BOOST_LEAF_ASSIGN(Load.RoutineQueued, readCount(Item, "routine"));
+    BOOST_LEAF_AUTO(Drain, readCount(Item, "drain"));
+    Load.DrainPerSecond = Drain;
+    Loads.push_back(Load);
+  }
+  return Loads;
+}
+
 RetVal<PoolRequest> readRequest(const Json::Value &Params) {
   PoolRequest Request;
   BOOST_LEAF_AUTO(Id, json::readString(Params, "request"));
@@ -139,20 +171,24 @@
   return AcquireMessage{From, Request};
 }
 
-Json::Value writeAcquireResult(const std::optional<Rejection> &Why) {
-  Json::Value Result(Json::objectValue);
-  Result["accepted"] = !Why.has_value();
-  if (Why)
-    writeRejection(Result, *Why);
-  return Result;
+Json::Value writeAcquireResult(const AcquireResult &Result) {
+  Json::Value Object(Json::objectValue);
+  Object["accepted"] = !Result.Why.has_value();
+  if (Result.Why)
+    writeRejection(Object, *Result.Why);
+  writeLoads(Object, Result.Loads);
+  return Object;
 }
 
-RetVal<std::optional<Rejection>> readAcquireResult(const Json::Value &Result) {
+RetVal<AcquireResult> readAcquireResult(const Json::Value &Result) {
+  AcquireResult Read;
   BOOST_LEAF_AUTO(Accepted, json::readBoolOr(Result, "accepted", false));
+  BOOST_LEAF_ASSIGN(Read.Loads, readLoads(Result));
   if (Accepted)
-    return std::optional<Rejection>();
+    return Read;
   BOOST_LEAF_AUTO(Why, readRejection(Result));
-  return std::optional<Rejection>(Why);
+  Read.Why = Why;
+  return Read;
 }
 
 Json::Value writeGrant(const GrantMessage &Message) {
@@ -168,6 +204,7 @@
     Item["port"] = Each.Address.Port;
     Leases.append(std::move(Item));
   }
+  writeLoads(Params, Message.Loads);
   return Params;
 }
 
@@ -175,6 +212,7 @@
   GrantMessage Message;
   BOOST_LEAF_AUTO(Owner, json::readString(Params, "owner"));
   Message.Owner = VmId(Owner);
+  BOOST_LEAF_ASSIGN(Message.Loads, readLoads(Params));
   BOOST_LEAF_AUTO(Leases, json::readArray(Params, "leases"));
   for (const Json::Value &Item : Leases) {
     BOOST_LEAF_AUTO(IdText, json::readString(Item, "lease"));
--- a/src/dispatch/internal/messages.h
+++ b/src/dispatch/internal/messages.h
@@ -24,14 +24,23 @@
 Json::Value writeAcquire(const AcquireMessage &Message);
 RetVal<AcquireMessage> readAcquire(const Json::Value &Params);
 
-/// The result of pool.acquire: nothing if it was accepted.
-Json::Value writeAcquireResult(const std::optional<Rejection> &Why);
-RetVal<std::optional<Rejection>> readAcquireResult(const Json::Value &Result);
+/// The result of pool.acquire.
+struct AcquireResult {
+  /// Nothing if the request was accepted.
+  std::optional<Rejection> Why;
+  /// The services of the pool now. The owner's name, address and data centre
+  /// are left out.
+  std::vector<PoolSummary> Loads;
+};
+Json::Value writeAcquireResult(const AcquireResult &Result);
+RetVal<AcquireResult> readAcquireResult(const Json::Value &Result);
 
 /// pool.grant: the leases of one turn for one entry.
 struct GrantMessage {
   VmId Owner;
   std::vector<Lease> Leases;
+  /// As in AcquireResult.
+  std::vector<PoolSummary> Loads;
 };
 Json::Value writeGrant(const GrantMessage &Message);
 RetVal<GrantMessage> readGrant(const Json::Value &Params);
--- a/src/dispatch/internal/poolclient.cpp
+++ b/src/dispatch/internal/poolclient.cpp
@@ -66,10 +66,7 @@
 }
 
 bool PoolClient::ask(Pending &Of, std::uint32_t Tasks) {
-  std::vector<PoolSummary> Pools = Directory_.pools(Of.Request.Service);
-  std::erase_if(Pools, [&](const PoolSummary &Pool) {
-    return Of.Asked.contains(Pool.Owner);
-  });
+  std::vector<PoolSummary> Pools = knownPools(Of);
   PoolRequest Request = Of.Request;
   Request.Tasks = Tasks;
   std::vector<RoutePart> Parts =
@@ -79,6 +76,35 @@
   return !Parts.empty();
 }
 
+std::vector<PoolSummary> PoolClient::knownPools(const Pending &For) const {
+  std::vector<PoolSummary> Pools = Directory_.pools(For.Request.Service);
+  std::erase_if(Pools, [&](const PoolSummary &Pool) {
+    return For.Asked.contains(Pool.Owner);
+  });
+  for (PoolSummary &Pool : Pools) {
+    auto Found = Reports_.find({Pool.Owner, Pool.Service});
+    if (Found == Reports_.end() ||
+        Clock_.now() - Found->second.At > Policy_.ReportLife)
+      continue;
+    const PoolSummary &Load = Found->second.Load;
+    Pool.Slots = Load.Slots;
+    Pool.Free = Load.Free;
+    Pool.UrgentQueued = Load.UrgentQueued;
+    Pool.RoutineQueued = Load.RoutineQueued;
+    Pool.DrainPerSecond = Load.DrainPerSecond;
+  }
+  return Pools;
+}
+
+void PoolClient::takeReports(const VmId &Owner,
+                             const std::vector<PoolSummary> &Loads) {
+  if (Policy_.ReportLife <= Duration(0))
+    return;
+  Sent_.erase(Owner);
+  for (const PoolSummary &Load : Loads)
+    Reports_[{Owner, Load.Service}] = {Load, Clock_.now()};
+}
+
 void PoolClient::sendAcquire(Pending &Of, const RoutePart &To) {
   RequestId Id = Of.Request.Id;
   Of.Asked.insert(To.Owner);
@@ -116,8 +142,9 @@
     partFailed(Id, Owner, {RejectReason::Lost, LostRetry});
     return;
   }
-  if (*Why) {
-    partFailed(Id, Owner, **Why);
+  takeReports(Owner, Why->Loads);
+  if (Why->Why) {
+    partFailed(Id, Owner, *Why->Why);
     return;
   }
   Found->second.Parts[Owner].Accepted = true;
@@ -162,6 +189,7 @@
 
 RetVal<Json::Value> PoolClient::onGrant(const Json::Value &Params) {
   BOOST_LEAF_AUTO(Message, readGrant(Params));
+  takeReports(Message.Owner, Message.Loads);
   std::vector<LeaseId> Taken;
   std::set<RequestId> Touched;
   for (const Lease &Each : Message.Leases)
--- a/src/dispatch/internal/poolclient.h
+++ b/src/dispatch/internal/poolclient.h
@@ -78,6 +78,12 @@
     std::uint32_t Failures = 0;
   };
 
+  /// A load that came with an answer or a grant.
+  struct Report {
+    PoolSummary Load;
+    Time At{};
+  };
+
   using PendingMap = std::unordered_map<RequestId, Pending>;
 
   RetVal<Json::Value> onGrant(const Json::Value &Params);
@@ -91,6 +97,9 @@
   /// The part at \p Owner failed: asks another pool, or rejects the request.
   void partFailed(const RequestId &Id, const VmId &Owner, Rejection Why);
   void reject(PendingMap::iterator Of, Rejection Why);
+  /// The pools of the directory, with newer reports where there are any.
+  std::vector<PoolSummary> knownPools(const Pending &For) const;
+  void takeReports(const VmId &Owner, const std::vector<PoolSummary> &Loads);
   bool takeLease(const Lease &Granted);
   /// Hands out leases that were held back if all parts are accepted.
   void handOut(const RequestId &Id);
@@ -121,7 +130,9 @@
   RoutePolicy Policy_;
   PendingMap Pending_;
   std::map<VmId, OwnerState> Owners_;
-  /// Tasks sent to owners since Sent_ was cleared by the renewal.
+  /// The last loads that owners sent with other messages.
+  std::map<std::pair<VmId, ServiceId>, Report> Reports_;
+  /// Tasks sent to owners since their last report, or the last renewal.
   SentTasks Sent_;
   /// Timer of the next flush; 0 if none is set.
   TimerId Flush_;
--- a/src/dispatch/internal/poolservice.cpp
+++ b/src/dispatch/internal/poolservice.cpp
@@ -100,7 +100,7 @@
   auto Why = acquire(*Pool_, Message.From, Message.Request, Clock_.now());
   if (!Why)
     touch();
-  return writeAcquireResult(Why);
+  return writeAcquireResult({Why, dispatch::summaries(*Pool_)});
 }
 
 RetVal<Json::Value> PoolService::onCancel(const Json::Value &Params) {
@@ -165,8 +165,10 @@
     Message.Leases.insert(Message.Leases.end(), Each.Leases.begin(),
                           Each.Leases.end());
   }
-  for (auto &[Entry, Message] : ByEntry)
+  for (auto &[Entry, Message] : ByEntry) {
+    Message.Loads = dispatch::summaries(*Pool_);
     sendGrant(Entry, std::move(Message));
+  }
 }
 
 void PoolService::sendGrant(const VmId &To, GrantMessage Message) {
--- a/src/dispatch/router.h
+++ b/src/dispatch/router.h
@@ -24,6 +24,9 @@
   /// Part of a remote pool's free slots that its own entries may need before
   /// the summary is renewed.
   double RemoteReserve = 0.1;
+  /// How long a load that came with another message is used in place of the
+  /// heartbeat's; zero for never.
+  Duration ReportLife = std::chrono::milliseconds(500);
 };
 
 /// Part of a request that one pool gets.
--- a/src/dispatch/tests/adaptertest.cpp
+++ b/src/dispatch/tests/adaptertest.cpp
@@ -194,6 +194,28 @@
   EXPECT_EQ(Leases.size(), 4U);
 }
 
+TEST_F(AdapterTest, ALoadThatCameWithAnAnswerIsBelievedMoreThanAnOldHeartbeat) {
+  Directory1.Owners = {"e1", "e2"};
+  Network.Servers[2]["pool.grant"] = [](const Json::Value &Params,
+                                        const IRpcServer::Reply &Answer) {
+    auto Message = attempt([&] { return readGrant(Params); });
+    std::vector<LeaseId> All;
+    for (const Lease &Each : Message->Leases)
+      All.push_back(Each.Id);
+    Answer(writeLeaseIds("taken", All));
+  };
+  AcquireMessage Other{entry("e2"), request("other", 2)};
+  Network.Servers[1]["pool.acquire"](writeAcquire(Other), [](const auto &) {});
+  run();
+  ask("first");
+  run();
+  EXPECT_TRUE(Leases.empty()) << "the directory still says that e1 is free";
+  ask("second");
+  run();
+  ASSERT_EQ(Leases.size(), 1U);
+  EXPECT_EQ(Leases[0].Owner, VmId("e2"));
+}
+
 TEST_F(AdapterTest, ARequestMovesOnFromAnOwnerThatCannotBeReached) {
   Directory1.Owners = {"e2", "e1"};
   Network.Servers[2]["pool.acquire"] = [](const Json::Value &,
--- a/src/model/policies.cpp
+++ b/src/model/policies.cpp
@@ -32,6 +32,7 @@
   Result.Name = "v1";
   Result.Pool.SizeRank = 0;
   Result.Route.RemotePenalty = std::chrono::hours(1);
+  Result.Route.ReportLife = Duration(0);
   return Result;
 }
 
@@ -40,6 +41,7 @@
   Policy Result = version1();
   Result.Name = "v2";
   Result.Route = dispatch::RoutePolicy();
+  Result.Route.ReportLife = Duration(0);
   return Result;
 }
 
@@ -51,11 +53,19 @@
   return Result;
 }
 
+/// Answers and grants carry the load of their pool.
+Policy version4() {
+  Policy Result = version3();
+  Result.Name = "v4";
+  Result.Route.ReportLife = dispatch::RoutePolicy().ReportLife;
+  return Result;
+}
+
 } // namespace
 
 const std::vector<Policy> &policies() {
-  static const std::vector<Policy> All = {naive(), central(), version1(),
-                                          version2(), version3()};
+  static const std::vector<Policy> All = {naive(),    central(),  version1(),
+                                          version2(), version3(), version4()};
   return All;
 }
 
