Run the whole path as separate processes

Cause: the modules stand alone; nothing joined them to a system. Ruled out: reading a stand-in's flags when its command runs (the command line puts flags back before that; they read as empty, seen in the first demo run).

--- /dev/null
+++ b/src/app/internal/baseservices.cpp
@@ -0,0 +1,93 @@
+//===- baseservices.cpp - The framework's services of a process -----------===//
+//
+// Builds the framework's services from the process's settings.
+//
+//===----------------------------------------------------------------------===//
+
+#include "app/internal/baseservices.h"
+
+#include "framework/kernel/names.h"
+#include "framework/log/log.h"
+
+#include <random>
+
+namespace geraniumbay::app {
+
+namespace {
+
+constexpr double PercentToShare = 0.01;
+
+std::uint64_t systemSeed() {
+  std::random_device Device;
+  constexpr unsigned HalfBits = 32;
+  return (static_cast<std::uint64_t>(Device()) << HalfBits) | Device();
+}
+
+HttpServerLimits serverLimits(const inventory::ListenerLimits &Limits) {
+  HttpServerLimits Result;
+  Result.MaxBodyBytes = Limits.MaxBody.value();
+  Result.MaxConnections = Limits.MaxConnections;
+  Result.RequestTimeout = Limits.RequestTimeout;
+  return Result;
+}
+
+TracerSettings tracerSettings(const inventory::ProcessSettings &Settings) {
+  TracerSettings Result;
+  Result.Process = Settings.Process.Vm.value();
+  Result.File = Settings.Trace.File;
+  Result.SampleShare = Settings.Trace.Sample.value() * PercentToShare;
+  return Result;
+}
+
+/// Hands out a service that BaseServices owns.
+template <typename InterfaceT>
+void addOwned(Registry &Services, const char *Name, InterfaceT &Service) {
+  Services.add<InterfaceT>(
+      Name, std::shared_ptr<InterfaceT>(std::shared_ptr<void>(), &Service));
+}
+
+Ret listenOn(HttpServer &Server, const char *Name, const Endpoint &Address) {
+  BOOST_LEAF_AUTO(Taken, Server.listen(Address));
+  logEvent(LogLevel::Info, "app", "listening",
+           {{"interface", Name}, {"address", Taken.text()}});
+  return {};
+}
+
+} // namespace
+
+BaseServices::BaseServices(const inventory::ProcessSettings &Settings,
+                           const Secrets &Shared)
+    : Numbers(systemSeed()), Loop(Clock),
+      Spans(Clock, Numbers, tracerSettings(Settings)),
+      Http(Loop, HttpClientLimits()),
+      Callers(Loop, serverLimits(Settings.Limits)),
+      Peers(Loop, serverLimits(Settings.Limits)),
+      Admin(Loop, serverLimits(Settings.Limits)),
+      PeerRpc(Peers, Shared.PeerKey), AdminRpc(Admin, Shared.AdminToken),
+      Rpc(Http, Shared.PeerKey) {}
+
+Ret BaseServices::listen(const inventory::ProcessSettings &Settings) {
+  const inventory::ProcessIdentity &Own = Settings.Process;
+  // An entry opens its callers' address when it is ready to serve.
+  BOOST_LEAF_CHECK(listenOn(Peers, "peers", Own.Peer));
+  if (Own.Admin)
+    BOOST_LEAF_CHECK(listenOn(Admin, "admin", *Own.Admin));
+  return {};
+}
+
+void BaseServices::registerAll(Registry &Services) {
+  namespace kernel = geraniumbay::service_name;
+  addOwned<IClock>(Services, kernel::Clock, Clock);
+  addOwned<ITimers>(Services, kernel::Timers, Loop.timers());
+  addOwned<Random>(Services, kernel::Numbers, Numbers);
+  addOwned<Metrics>(Services, kernel::Metrics, Measured);
+  addOwned<Tracer>(Services, kernel::Tracer, Spans);
+  addOwned<IHttpClient>(Services, kernel::HttpClient, Http);
+  addOwned<IHttpServer>(Services, kernel::CallerServer, Callers);
+  addOwned<IHttpServer>(Services, kernel::PeerServer, Peers);
+  addOwned<IHttpServer>(Services, kernel::AdminServer, Admin);
+  addOwned<IRpcServer>(Services, kernel::RpcServer, PeerRpc);
+  addOwned<IRpcClient>(Services, kernel::RpcClient, Rpc);
+}
+
+} // namespace geraniumbay::app
--- a/src/cli/internal/flags.cpp
+++ b/src/cli/internal/flags.cpp
@@ -218,7 +218,10 @@
   // The flags are global; put them back, so that a process can run several
   // commands, as tests do.
   gflags::FlagSaver Saver;
-  return ArgumentReader(Chosen, Arguments).read();
+  BOOST_LEAF_AUTO(Line, ArgumentReader(Chosen, Arguments).read());
+  if (Chosen.ReadOwnFlags)
+    Chosen.ReadOwnFlags();
+  return Line;
 }
 
 std::string describeFlag(const std::string &Name) {
--- /dev/null
+++ b/src/entry/internal/ledgerclaims.cpp
@@ -0,0 +1,107 @@
+//===- ledgerclaims.cpp - Claims by the ledger module ---------------------===//
+//
+// Translates between the coordinator and the ledger's client.
+//
+//===----------------------------------------------------------------------===//
+
+#include "entry/internal/ledgerclaims.h"
+
+#include "framework/json/json.h"
+
+#include <memory>
+
+namespace geraniumbay::entry {
+
+namespace {
+
+/// How long an answer is tried to be recorded after its caller was told to ask
+/// again.
+constexpr Duration BackgroundRecording = std::chrono::minutes(10);
+/// How long a release is tried.
+constexpr Duration ReleaseTime = std::chrono::seconds(30);
+/// When a caller comes back whose submission another entry still runs, or
+/// whose ledger cannot be reached.
+constexpr Duration ComeBack = std::chrono::seconds(1);
+
+ClaimEvent refused(Result Answer) { return ClaimRefused{std::move(Answer)}; }
+
+ClaimEvent readReply(const ledger::ClaimReply &Reply) {
+  switch (Reply.State) {
+  case ledger::ClaimState::Granted:
+    return ClaimGranted{};
+  case ledger::ClaimState::Answered:
+    return ClaimAnswered{readRecorded(Reply.Answer)};
+  case ledger::ClaimState::Held:
+    break;
+  case ledger::ClaimState::Mismatch:
+    return refused(
+        notRun(FailureReason::KeyReused, "the key belongs to another request"));
+  case ledger::ClaimState::UnknownEpoch:
+    return refused(notRun(FailureReason::UnknownEpoch,
+                          "the id is from before a loss of the ledger; it "
+                          "will not be run"));
+  }
+  Result Held = mayHaveRun(FailureReason::HeldElsewhere,
+                           "another entry runs it; ask again");
+  Held.RetryAfter = ComeBack;
+  return refused(std::move(Held));
+}
+
+} // namespace
+
+ClaimEvent readClaimOutcome(const Outcome<ledger::ClaimReply> &Reply) {
+  if (Reply.ok())
+    return readReply(*Reply);
+  // Whatever became of the claim, this entry starts nothing of it, and the
+  // ledger's client releases what may have been claimed.
+  return refused(notRun(FailureReason::LedgerUnavailable, Reply.error().Message,
+                        ComeBack));
+}
+
+Result readRecorded(const std::string &Text) {
+  auto Answer = attempt([&]() -> RetVal<Result> {
+    BOOST_LEAF_AUTO(Value, json::parse(Text));
+    return readResult(Value);
+  });
+  if (Answer.ok())
+    return *Answer;
+  return mayHaveRun(FailureReason::CoordinatorLost,
+                    "the entry that ran it was lost");
+}
+
+void LedgerClaims::claim(const Submission &Request, ClaimCallback Done) {
+  Ledger_.claim(
+      Request.Home, Request.Id, Request.Digest, Request.Deadline,
+      [Done = std::move(Done)](const Outcome<ledger::ClaimReply> &Reply) {
+        Done(readClaimOutcome(Reply));
+      });
+}
+
+void LedgerClaims::record(const Submission &Request, const Result &Answer,
+                          Time GiveUpAt, RecordCallback Done) {
+  // The first of the two to come, the ledger's answer or the time to give up,
+  // answers; recording goes on in the background.
+  auto Waiting = std::make_shared<RecordCallback>(std::move(Done));
+  auto AnswerOnce = [Waiting](const std::optional<Result> &Recorded) {
+    if (RecordCallback Callback = std::exchange(*Waiting, nullptr))
+      Callback(Recorded);
+  };
+  TimerId GiveUp = Timers_.after(GiveUpAt - Clock_.now(),
+                                 [AnswerOnce] { AnswerOnce(std::nullopt); });
+  Ledger_.record(Request.Home, Request.Id, json::write(resultJson(Answer)),
+                 GiveUpAt + BackgroundRecording,
+                 [this, AnswerOnce, GiveUp](const Outcome<std::string> &Text) {
+                   Timers_.cancel(GiveUp);
+                   if (Text.ok())
+                     AnswerOnce(readRecorded(*Text));
+                   else
+                     AnswerOnce(std::nullopt);
+                 });
+}
+
+void LedgerClaims::release(const Submission &Request) {
+  Ledger_.release(Request.Home, Request.Id, Clock_.now() + ReleaseTime,
+                  [](const Outcome<geraniumbay::Done> &) {});
+}
+
+} // namespace geraniumbay::entry
--- a/src/entry/internal/runner.cpp
+++ b/src/entry/internal/runner.cpp
@@ -24,6 +24,7 @@
       Request.Deadline - Services_.Clock.now(),
       [Self = shared_from_this()] { Self->deadlinePassed(); });
   if (Request.Repeatable) {
+    noteFirstTry(Services_.Extra);
     State_ = Single{};
     perform(startSingle(std::get<Single>(State_), std::move(Request)));
   } else {
@@ -148,11 +149,13 @@
 }
 
 void Runner::taskEnded(const TaskEvent &Event) {
+  if (Event.End == TaskEnd::Succeeded)
+    noteRun(Services_.Extra, request(), Event.Ran, Services_.Clock.now());
   if (auto *Running = std::get_if<Job>(&State_))
     perform(onTaskEnd(*Running, Event));
   else
-    perform(
-        onTaskEnd(std::get<Single>(State_), Event, Services_.TakeExtraMessage));
+    perform(onTaskEnd(std::get<Single>(State_), Event,
+                      [this] { return takeRetry(Services_.Extra); }));
 }
 
 void Runner::deadlinePassed() {
@@ -163,12 +166,14 @@
   auto *Running = std::get_if<Single>(&State_);
   if (Running == nullptr || Running->Attempts.size() != 1)
     return;
-  std::optional<Duration> Delay = Services_.HedgeDelay(Running->Request);
+  std::optional<Duration> Delay =
+      hedgeDelay(Services_.Extra, Running->Request, Services_.Clock.now());
   if (!Delay)
     return;
   Hedge_ = Services_.Timers.after(*Delay, [Self = shared_from_this()] {
-    Self->perform(onHedgeDue(std::get<Single>(Self->State_),
-                             Self->Services_.TakeExtraMessage));
+    Self->perform(onHedgeDue(std::get<Single>(Self->State_), [Self] {
+      return takeHedge(Self->Services_.Extra);
+    }));
   });
 }
 
--- a/src/entry/internal/runner.h
+++ b/src/entry/internal/runner.h
@@ -9,6 +9,7 @@
 #define GERANIUMBAY_ENTRY_INTERNAL_RUNNER_H
 
 #include "dispatch/ipoolclient.h"
+#include "entry/internal/extramessages.h"
 #include "entry/internal/iclaims.h"
 #include "entry/internal/single.h"
 #include "entry/internal/upstream.h"
@@ -28,11 +29,8 @@
   Upstream &Workers;
   /// Gives ids that no other request of any entry has.
   std::function<dispatch::RequestId()> NewRequestId;
-  /// Takes one extra message for a repeatable task from the budget.
-  TakeToken TakeExtraMessage;
-  /// How long a task of the submission runs before it is worth a second
-  /// attempt; nothing if that is not known or not wanted.
-  std::function<std::optional<Duration>(const Submission &)> HedgeDelay;
+  /// The budget of retries and hedges of the entry.
+  ExtraMessages &Extra;
 };
 
 /// Carries out one submission. Keeps itself alive until its last callback.
--- a/src/entry/internal/upstream.h
+++ b/src/entry/internal/upstream.h
@@ -11,6 +11,7 @@
 
 #include "entry/internal/job.h"
 #include "framework/net/ihttpclient.h"
+#include "framework/trace/tracecontext.h"
 
 #include <functional>
 #include <unordered_map>
@@ -25,8 +26,6 @@
 constexpr const char *TaskIdHeader = "x-task-id";
 /// The header by which a worker's guard says that a refused task did not start.
 constexpr const char *NotStartedHeader = "x-not-started";
-/// The W3C trace context.
-constexpr const char *TraceParentHeader = "traceparent";
 
 /// What a task's call came to.
 struct TaskReport {
--- a/src/framework/kernel/names.h
+++ b/src/framework/kernel/names.h
@@ -12,6 +12,9 @@
 
 constexpr const char *Clock = "clock";               ///< IClock
 constexpr const char *Timers = "timers";             ///< ITimers
+constexpr const char *Numbers = "numbers";           ///< Random
+constexpr const char *Metrics = "metrics";           ///< Metrics
+constexpr const char *Tracer = "tracer";             ///< Tracer
 constexpr const char *HttpClient = "http_client";    ///< IHttpClient
 constexpr const char *CallerServer = "http_callers"; ///< IHttpServer
 constexpr const char *PeerServer = "http_peers";     ///< IHttpServer
