Finish jobs that were begun (v5)

The rank now counts only the tasks that have no lease yet.

The model told one caller "not run" at its deadline although its task was at a slow worker; what was sent now counts as started there.

--- a/src/dispatch/internal/fairqueue.cpp
+++ b/src/dispatch/internal/fairqueue.cpp
@@ -86,6 +86,13 @@
   return Last;
 }
 
+void setRank(FairQueue &Queue, Waiting &Request, Time Rank) {
+  TeamFlow &Flow = flowOf(Queue, Request.Request.Team);
+  Flow.Requests.erase({Request.Rank, Request.Sequence});
+  Request.Rank = Rank;
+  Flow.Requests.emplace(std::pair(Rank, Request.Sequence), &Request);
+}
+
 void erase(FairQueue &Queue, Waiting &Request) {
   TeamFlow &Flow = flowOf(Queue, Request.Request.Team);
   if (Flow.Requests.erase({Request.Rank, Request.Sequence}) == 0)
--- a/src/dispatch/internal/fairqueue.h
+++ b/src/dispatch/internal/fairqueue.h
@@ -81,6 +81,9 @@
 /// the last one, and then the request has left the queue.
 bool takeTask(FairQueue &Queue, Waiting &Request);
 
+/// Changes the order of \p Request within its team.
+void setRank(FairQueue &Queue, Waiting &Request, Time Rank);
+
 /// Removes \p Request with all its waiting tasks.
 void erase(FairQueue &Queue, Waiting &Request);
 
--- a/src/dispatch/internal/requests.cpp
+++ b/src/dispatch/internal/requests.cpp
@@ -22,10 +22,11 @@
 /// Small requests go before large ones of the same team that arrived a little
 /// earlier: the last task of a small job is done soon, and a large one hardly
 /// notices. What has waited long enough goes first whatever its size.
-Time rankOf(const PoolPolicy &Policy, const PoolRequest &Request,
-            Duration TaskRun, Time Now) {
-  auto Work = static_cast<double>((TaskRun * Request.Tasks).count());
-  return Now + Duration(static_cast<Duration::rep>(Work * Policy.SizeRank));
+Time rankOf(const PoolPolicy &Policy, const Waiting &Request) {
+  auto Work =
+      static_cast<double>((Request.TaskRun * Request.TasksLeft).count());
+  return Request.Arrived +
+         Duration(static_cast<Duration::rep>(Work * Policy.SizeRank));
 }
 
 /// Removes the request from all orders but the queue's.
@@ -50,9 +51,9 @@
   Added.From = From;
   Added.Sequence = ++Pool.LastSequence;
   Added.Arrived = Now;
-  Added.Rank = rankOf(Pool.Policy, Request, TaskRun, Now);
   Added.TasksLeft = Request.Tasks;
   Added.TaskRun = TaskRun;
+  Added.Rank = rankOf(Pool.Policy, Added);
   if (Request.TimeLeft > Duration(0)) {
     Added.Deadline = Now + Request.TimeLeft;
     Pool.ByLatestStart.emplace(latestStart(Added), Added.Sequence);
@@ -66,8 +67,11 @@
 }
 
 void takeTask(PoolState &Pool, ServiceState &Service, Waiting &Request) {
-  if (takeTask(queueOf(Service, Request), Request))
+  FairQueue &Queue = queueOf(Service, Request);
+  if (takeTask(Queue, Request))
     forgetRequest(Pool, Service, Request);
+  else if (Pool.Policy.RankByRemaining)
+    setRank(Queue, Request, rankOf(Pool.Policy, Request));
 }
 
 void dropRequest(PoolState &Pool, Waiting &Request) {
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -31,7 +31,10 @@
   double RoutineShare = 0.1;
   /// Within a team, a request goes as if it had arrived later by this many
   /// times the run time of all its tasks; 0 is the order of arrival.
-  double SizeRank = 0.3;
+  double SizeRank = 0.6;
+  /// Only the tasks that have no lease yet count for SizeRank, so that a job
+  /// that was begun is also finished.
+  bool RankByRemaining = true;
   /// Longest expected wait in the queue that a new request is accepted with.
   Duration MaxUrgentWait = std::chrono::milliseconds(500);
   Duration MaxRoutineWait = std::chrono::seconds(2);
--- a/src/dispatch/tests/pooltest.cpp
+++ b/src/dispatch/tests/pooltest.cpp
@@ -76,12 +76,21 @@
   Fixture.ask(request("small", 2));
   auto Order = serveOneByOne(Fixture, 2);
   EXPECT_EQ(countOf(Order, "small"), 2);
-  // The large one counts as 0.3 times 20 tasks of 100 ms later.
-  Fixture.Clock.advance(milliseconds(700));
+  // The large one counts as 0.6 times 20 tasks of 100 ms later.
+  Fixture.Clock.advance(milliseconds(1300));
   Fixture.ask(request("later", 2));
   EXPECT_EQ(countOf(serveOneByOne(Fixture, 2), "large"), 2);
 }
 
+TEST(PoolTest, AJobThatWasBegunGoesBeforeASmallerNewOne) {
+  PoolFixture Fixture(longQueue());
+  Fixture.addWorkers(1, 1);
+  Fixture.ask(request("begun", 20));
+  serveOneByOne(Fixture, 15);
+  Fixture.ask(request("new", 10));
+  EXPECT_EQ(countOf(serveOneByOne(Fixture, 5), "begun"), 5);
+}
+
 TEST(PoolTest, AQuotaBoundsTheLeasesOfATeam) {
   PoolPolicy Policy = longQueue();
   Policy.Teams[TeamId("t")].MaxLeases = 3;
--- a/src/model/internal/modelentry.cpp
+++ b/src/model/internal/modelentry.cpp
@@ -109,8 +109,11 @@
 }
 
 bool ModelEntry::startedAny(const Open &Of) const {
-  return std::any_of(Of.Tasks.begin(), Of.Tasks.end(),
-                     [](const Task &Each) { return Each.Starts > 0; });
+  return std::any_of(Of.Tasks.begin(), Of.Tasks.end(), [](const Task &Each) {
+    return Each.Starts > 0 ||
+           std::any_of(Each.Copies.begin(), Each.Copies.end(),
+                       [](const auto &Sent) { return !Sent->Ended; });
+  });
 }
 
 void ModelEntry::close(const OpenPtr &Of, const Answer &What) {
--- a/src/model/policies.cpp
+++ b/src/model/policies.cpp
@@ -31,6 +31,7 @@
   Policy Result;
   Result.Name = "v1";
   Result.Pool.SizeRank = 0;
+  Result.Pool.RankByRemaining = false;
   Result.Route.RemotePenalty = std::chrono::hours(1);
   Result.Route.ReportLife = Duration(0);
   return Result;
@@ -49,7 +50,7 @@
 Policy version3() {
   Policy Result = version2();
   Result.Name = "v3";
-  Result.Pool.SizeRank = dispatch::PoolPolicy().SizeRank;
+  Result.Pool.SizeRank = 0.3;
   return Result;
 }
 
@@ -61,11 +62,21 @@
   return Result;
 }
 
+/// What is left of a request counts for its rank.
+Policy version5() {
+  Policy Result = version4();
+  Result.Name = "v5";
+  Result.Pool.RankByRemaining = true;
+  Result.Pool.SizeRank = 0.6;
+  return Result;
+}
+
 } // namespace
 
 const std::vector<Policy> &policies() {
   static const std::vector<Policy> All = {naive(),    central(),  version1(),
-                                          version2(), version3(), version4()};
+                                          version2(), version3(), version4(),
+                                          version5()};
   return All;
 }
 
