--- a/src/dispatch/internal/health.cpp
+++ b/src/dispatch/internal/health.cpp
@@ -19,7 +19,7 @@
 /// Lowest failure rate that makes a worker an outlier.
 constexpr double OutlierRate = 0.5;
 /// Weight of a new sample in a caller's failure rate.
-constexpr double RateWeight = 0.05;
+constexpr double RateWeight = 0.01;
 /// A caller without a success for so long may be what fails.
 constexpr Duration RecentSuccess = std::chrono::seconds(2);
 /// Successful probes after which a worker is back.
@@ -95,16 +95,20 @@
 }
 
 void noteFailure(WorkerHealth &Health, CallerFailures &Caller,
-                 const WorkerId &Worker, const PoolPolicy &Policy, Time Now) {
+                 const CallerId &Whose, const WorkerId &Worker,
+                 const PoolPolicy &Policy, Time Now) {
   Rates Rate = ratesFor(Caller);
   if (Health.FailuresInRow++ == 0)
     Caller.Rate += (1 - Caller.Rate) * RateWeight;
   rememberFailedAt(Caller, Worker);
+  bool OtherFailedToo =
+      Health.FailuresInRow > 1 && Health.FailedCaller != Whose;
+  Health.FailedCaller = Whose;
   if (Health.Ejected) {
     eject(Health, Policy, Now);
     return;
   }
-  if (callerIsSuspect(Caller, Now))
+  if (callerIsSuspect(Caller, Now) && !OtherFailedToo)
     return;
   Health.Window = 1;
   Health.Evidence += std::log(Rate.Outlier / Rate.Normal);
--- a/src/dispatch/internal/health.h
+++ b/src/dispatch/internal/health.h
@@ -32,9 +32,14 @@
 
 /// What is known of one worker from the outcomes of its tasks.
 struct WorkerHealth {
-  /// Leases that the worker may have at once; doubles with each success.
+  /// Leases that the worker may have at once on top of those granted before
+  /// its last failure; doubles with each success.
   std::uint32_t Window = 1;
+  /// The last lease of the pool when a task of the worker failed last.
+  std::uint64_t FailedAfter = 0;
   std::uint32_t FailuresInRow = 0;
+  /// Whose task failed last.
+  CallerId FailedCaller;
   /// CUSUM of the log-likelihood ratio; at or above 0.
   double Evidence = 0;
   /// Left out: only probes go to the worker.
@@ -52,9 +57,11 @@
 void noteSuccess(WorkerHealth &Health, CallerFailures &Caller,
                  const PoolPolicy &Policy, Time Now);
 
-/// Takes a failure of one of the tasks of \p Worker.
+/// Takes a failure of one of the tasks of \p Worker, which caller \p Whose
+/// sent.
 void noteFailure(WorkerHealth &Health, CallerFailures &Caller,
-                 const WorkerId &Worker, const PoolPolicy &Policy, Time Now);
+                 const CallerId &Whose, const WorkerId &Worker,
+                 const PoolPolicy &Policy, Time Now);
 
 } // namespace geraniumbay::dispatch
 
--- a/src/dispatch/internal/leases.cpp
+++ b/src/dispatch/internal/leases.cpp
@@ -21,8 +21,8 @@
 constexpr unsigned CounterBits = 40;
 
 LeaseId nextLeaseId(PoolState &Pool) {
-  std::uint64_t Start = Pool.Owner.Start.value() << CounterBits;
-  return LeaseId(Start + ++Pool.LastLease);
+  ++Pool.LastLease;
+  return lastLease(Pool);
 }
 
 /// The worker whose slot the lease holds, or null.
@@ -76,6 +76,11 @@
 
 } // namespace
 
+LeaseId lastLease(const PoolState &Pool) {
+  std::uint64_t Start = Pool.Owner.Start.value() << CounterBits;
+  return LeaseId(Start + Pool.LastLease);
+}
+
 TeamPolicy teamPolicy(const PoolState &Pool, const TeamId &Team) {
   auto Found = Pool.Policy.Teams.find(Team);
   return Found == Pool.Policy.Teams.end() ? TeamPolicy{} : Found->second;
--- a/src/dispatch/internal/leases.h
+++ b/src/dispatch/internal/leases.h
@@ -17,6 +17,9 @@
 Lease makeLease(PoolState &Pool, Worker &Target, const Waiting &Request,
                 Time Now);
 
+/// The id of the lease that was granted last.
+LeaseId lastLease(const PoolState &Pool);
+
 /// Ends a lease and frees its slot; an unknown one is ignored.
 void endLease(PoolState &Pool, LeaseId Id);
 
--- a/src/dispatch/internal/workers.cpp
+++ b/src/dispatch/internal/workers.cpp
@@ -7,6 +7,7 @@
 #include "dispatch/internal/workers.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace geraniumbay::dispatch {
 namespace {
@@ -14,14 +15,22 @@
 /// A probe waits for a repeatable request for so many times ProbeAfter.
 constexpr int ProbePatience = 2;
 
+/// Leases granted after the worker's last failure. It has few slots, and this
+/// counts the newest ones only.
+std::uint32_t leasesSinceFailure(const Worker &Target) {
+  auto First = Target.Leases.upper_bound(LeaseId(Target.Health.FailedAfter));
+  return static_cast<std::uint32_t>(std::distance(First, Target.Leases.end()));
+}
+
 /// Leases that the worker may take on top of those it has.
 std::uint32_t freeSlots(const Worker &Target) {
   std::uint32_t Leased = leasedSlots(Target);
   std::uint32_t Taken = Leased + Target.Foreign;
   std::uint32_t Free =
       Target.Last.Slots > Taken ? Target.Last.Slots - Taken : 0;
+  std::uint32_t Unproven = leasesSinceFailure(Target);
   std::uint32_t Window =
-      Target.Health.Window > Leased ? Target.Health.Window - Leased : 0;
+      Target.Health.Window > Unproven ? Target.Health.Window - Unproven : 0;
   return std::min(Free, Window);
 }
 
--- a/src/dispatch/pool.cpp
+++ b/src/dispatch/pool.cpp
@@ -32,8 +32,8 @@
 }
 
 /// Takes the outcome into the health of the worker.
-void judge(PoolState &Pool, const LeaseState &State, LeaseOutcome Outcome,
-           Time Now) {
+void judge(PoolState &Pool, LeaseId Id, const LeaseState &State,
+           LeaseOutcome Outcome, Time Now) {
   auto Found = Pool.Workers.find(State.On);
   if (Found == Pool.Workers.end() ||
       Found->second.Generation != State.Generation)
@@ -43,10 +43,16 @@
   if (Target.Health.Ejected && !State.Probe)
     return;
   CallerFailures &Caller = Target.Service->Failures[State.Caller];
-  if (Outcome == LeaseOutcome::Succeeded)
+  bool IsProof =
+      !Pool.Policy.ProofAfterFailure || Id.value() > Target.Health.FailedAfter;
+  if (Outcome == LeaseOutcome::Succeeded && IsProof)
     noteSuccess(Target.Health, Caller, Pool.Policy, Now);
-  if (Outcome == LeaseOutcome::Failed || Outcome == LeaseOutcome::Unreachable)
-    noteFailure(Target.Health, Caller, Target.Last.Worker, Pool.Policy, Now);
+  if (Outcome == LeaseOutcome::Failed || Outcome == LeaseOutcome::Unreachable) {
+    noteFailure(Target.Health, Caller, State.Caller, Target.Last.Worker,
+                Pool.Policy, Now);
+    if (Pool.Policy.ProofAfterFailure && Target.Health.Window == 1)
+      Target.Health.FailedAfter = lastLease(Pool).value();
+  }
   // The guard says that all slots are busy: believe it until the next
   // announcement.
   if (Outcome == LeaseOutcome::Refused)
@@ -143,7 +149,7 @@
   const LeaseState &State = Found->second;
   if (Outcome == LeaseOutcome::Succeeded)
     learnFrom(Pool, State, Ran, Now);
-  judge(Pool, State, Outcome, Now);
+  judge(Pool, Id, State, Outcome, Now);
   endLease(Pool, Id);
 }
 
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -47,6 +47,9 @@
   Duration SilentAfter = std::chrono::seconds(3);
   /// Consecutive failures after which a worker is left out.
   std::uint32_t EjectAfterFailures = 4;
+  /// After a failure, only leases granted later count as proof that the worker
+  /// is well again; results of earlier ones come from before its fault.
+  bool ProofAfterFailure = true;
   /// Time until the first probe of a worker that was left out; doubles with
   /// each failed probe up to the maximum.
   Duration ProbeAfter = std::chrono::seconds(1);
--- a/src/model/internal/modelentry.h
+++ b/src/model/internal/modelentry.h
@@ -49,6 +49,8 @@
     std::size_t Worker = 0;
     std::uint64_t WorkerTask = 0;
     bool Ended = false;
+    /// Nobody waits for it any more; its worker is told to stop it.
+    bool Stopped = false;
     /// The worker has taken it.
     bool Arrived = false;
   };
@@ -97,6 +99,7 @@
   /// Answers the caller and gives up what is still open.
   void close(const OpenPtr &Of, const Answer &What);
   void stopCopies(Task &Of);
+  void stopAtWorker(const std::shared_ptr<Copy> &Of);
   void countTasks(const Open &Of, bool Complete);
   Duration delayTo(std::size_t Worker) const;
   bool startedAny(const Open &Of) const;
--- a/src/model/internal/modelworker.cpp
+++ b/src/model/internal/modelworker.cpp
@@ -84,14 +84,15 @@
   OnEnd(Outcome, Ran);
 }
 
-void ModelWorker::cancel(std::uint64_t Task) {
+bool ModelWorker::cancel(std::uint64_t Task) {
   auto Found = Running_.find(Task);
   if (Found == Running_.end())
-    return;
+    return false;
   Shared_.Timers.cancel(Found->second.Timer);
   Running_.erase(Found);
   if (OnFree)
     OnFree();
+  return true;
 }
 
 void ModelWorker::die() {
--- a/src/model/internal/modelworker.h
+++ b/src/model/internal/modelworker.h
@@ -26,8 +26,8 @@
   /// Takes a task that runs for \p Run on a healthy worker. Returns the id for
   /// cancel().
   std::uint64_t start(Duration Run, Ended OnEnd);
-  /// Stops a task; it does not call back. Unknown ids are ignored.
-  void cancel(std::uint64_t Task);
+  /// Stops a task, which then does not call back; false if it had ended.
+  bool cancel(std::uint64_t Task);
 
   /// What the worker announces now; nothing if it is dead.
   std::optional<dispatch::WorkerAnnouncement> announcement() const;
