Keep the flags of added commands while they run

A trial on loopback with the examples showed that the stand-in upstream, a command that the program adds with flags of its own, saw only their defaults: the flags were put back as soon as they were read. They are now put back when the command has ended; a test with an added command failed before in that way.

Tables now begin with what a row is about, and descriptions of flags that commands share no longer name one of them.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -8,6 +8,7 @@
 #include "cli/internal/flags.h"
 
 #include <algorithm>
+#include <gflags/gflags.h>
 
 namespace geraniumbay::cli {
 namespace {
@@ -48,6 +49,9 @@
 
 int runChosen(const Command &Chosen, const std::vector<std::string> &Rest,
               Dependencies &Deps, std::ostream &Out, std::ostream &Err) {
+  // The flags are global: they keep their values while the command runs, and
+  // are put back then, so that a process can run several commands, as tests do.
+  gflags::FlagSaver Saver;
   auto Line = attempt([&] { return readCommandLine(Chosen, Rest); });
   if (!Line) {
     Err << Line.error().Message << "\n"
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -34,7 +34,8 @@
   std::string Summary;
   /// The rest of the help, in lines of at most 78 characters.
   std::string Details;
-  /// Names of the flags it takes, as defined with gflags.
+  /// Names of the flags it takes, as defined with gflags. A command added by
+  /// the program may define its own and read them while it runs.
   std::vector<std::string> Flags;
   /// How many arguments it takes.
   std::size_t MinFiles = 0;
--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -51,7 +51,8 @@
 constexpr const char *SubmitDetails =
     R"(Submits a job to an entry and waits for its one answer. The input is FILE, or
 standard input without FILE or with "-": the JSON body of POST /v1/jobs, or with
---lines the payload of one task a line. A complete job shows one answer a line.
+--lines the payload of one task a line, for --caller, --service, --request and
+--deadline_ms. A complete job shows one answer a line.
 
 The key is shown first. The same key again, also at another entry, never starts
 a task twice: it gives the first answer. An entry that cannot be reached is
--- a/src/cli/internal/flags.cpp
+++ b/src/cli/internal/flags.cpp
@@ -33,14 +33,13 @@
 DEFINE_string(key, "",
               "idempotency key; the same key again gets the first answer again "
               "(an id from the system if empty)");
-DEFINE_string(caller, "", "name of the caller, with --lines");
-DEFINE_string(service, "", "name of the service, with --lines");
-DEFINE_string(request, "", "kind of request, with --lines");
+DEFINE_string(caller, "", "name of the caller");
+DEFINE_string(service, "", "name of the service");
+DEFINE_string(request, "", "kind of request, as the rules name it");
 DEFINE_bool(lines, false,
             "each line of the input is the payload of one task; else the input "
             "is the JSON body of POST /v1/jobs");
-DEFINE_uint64(deadline_ms, 0,
-              "deadline of the job, with --lines (0: the configured one)");
+DEFINE_uint64(deadline_ms, 0, "deadline of the job (0: the configured one)");
 // NOLINTEND(readability-identifier-naming)
 
 namespace geraniumbay::cli {
@@ -215,9 +214,6 @@
 
 RetVal<CommandLine> readCommandLine(const Command &Chosen,
                                     const std::vector<std::string> &Arguments) {
-  // The flags are global; put them back, so that a process can run several
-  // commands, as tests do.
-  gflags::FlagSaver Saver;
   BOOST_LEAF_AUTO(Line, ArgumentReader(Chosen, Arguments).read());
   if (Chosen.ReadOwnFlags)
     Chosen.ReadOwnFlags();
--- a/src/cli/internal/flags.h
+++ b/src/cli/internal/flags.h
@@ -24,8 +24,8 @@
   Options Values;
 };
 
-/// Reads \p Arguments, which follow the name of \p Chosen. Fails with
-/// InvalidArgument, with a line for people.
+/// Reads \p Arguments, which follow the name of \p Chosen, and sets the flags
+/// of gflags. Fails with InvalidArgument, with a line for people.
 RetVal<CommandLine> readCommandLine(const Command &Chosen,
                                     const std::vector<std::string> &Arguments);
 
--- a/src/cli/internal/textoutput.cpp
+++ b/src/cli/internal/textoutput.cpp
@@ -44,7 +44,13 @@
   return Result;
 }
 
-/// Returns the fields of all rows, each once, in order of their names.
+/// Whether a column says what its row is about; such columns come first.
+bool isSubject(const std::string &Name) {
+  return Name == "vm" || Name == "data_centre" || Name == "worker";
+}
+
+/// Returns the fields of all rows, each once: first what the rows are about,
+/// then the others in order of their names.
 std::vector<std::string> columns(const Json::Value &Rows) {
   std::vector<std::string> Result;
   for (const Json::Value &Row : Rows)
@@ -52,6 +58,7 @@
       if (std::find(Result.begin(), Result.end(), Name) == Result.end())
         Result.push_back(Name);
   std::sort(Result.begin(), Result.end());
+  std::stable_partition(Result.begin(), Result.end(), isSubject);
   return Result;
 }
 
--- a/src/cli/tests/clitest.cpp
+++ b/src/cli/tests/clitest.cpp
@@ -8,6 +8,11 @@
 
 #include <gtest/gtest.h>
 
+#include <gflags/gflags.h>
+
+// NOLINTNEXTLINE(readability-identifier-naming): gflags makes the name.
+DEFINE_uint32(test_added, 1, "a flag of an added command");
+
 namespace geraniumbay::cli {
 namespace {
 
@@ -86,5 +91,21 @@
   EXPECT_NE(System.Err.find("--json: No such file"), std::string::npos);
 }
 
+TEST(CliTest, AddedCommandReadsItsOwnFlags) {
+  std::uint32_t Seen = 0;
+  Command Added{"added", "", "Adds.", "", {"test_added"}, 0, 0, {}};
+  Added.Run = [&Seen](const Options &, Dependencies &, std::ostream &,
+                      std::ostream &) {
+    Seen = FLAGS_test_added;
+    return 7;
+  };
+  FakeSystem System;
+  System.Commands.push_back(Added);
+  EXPECT_EQ(System.run({"added", "--test_added", "5"}), 7);
+  EXPECT_EQ(Seen, 5U);
+  EXPECT_EQ(System.run({"added"}), 7);
+  EXPECT_EQ(Seen, 1U) << "the value of the run before";
+}
+
 } // namespace
 } // namespace geraniumbay::cli
--- a/src/cli/tests/fakesystem.h
+++ b/src/cli/tests/fakesystem.h
@@ -39,6 +39,7 @@
   std::map<std::string, std::deque<RpcAnswer>> Rpc;
   std::map<std::string, std::deque<HttpAnswer>> Http;
   std::vector<SeenCall> Seen;
+  std::vector<Command> Commands = standardCommands();
   ManualClock Clock;
   std::string Input;
   std::string Out;
@@ -61,8 +62,7 @@
         In,
         false,
         "1.2.3"};
-    int Code =
-        runCommand(Arguments, standardCommands(), Deps, OutText, ErrText);
+    int Code = runCommand(Arguments, Commands, Deps, OutText, ErrText);
     Out = OutText.str();
     Err = ErrText.str();
     return Code;
--- a/src/cli/tests/processtest.cpp
+++ b/src/cli/tests/processtest.cpp
@@ -33,9 +33,9 @@
                         "version: 7\n"
                         "voters: a, b\n"
                         "watchers:\n"
-                        "  cut_off  vm\n"
-                        "  yes      n1\n"
-                        "  -        s1\n");
+                        "  vm  cut_off\n"
+                        "  n1  yes\n"
+                        "  s1  -\n");
 }
 
 TEST(StatusTest, AdminAsksOneProcessWithItsToken) {
