--- a/src/membership/internal/fanout.cpp
+++ b/src/membership/internal/fanout.cpp
@@ -5,24 +5,33 @@
 //===----------------------------------------------------------------------===//
 
 #include "membership/internal/fanout.h"
+#include "membership/internal/ages.h"
 #include "membership/internal/owner.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace geraniumbay::membership {
 
 namespace {
 
-/// Calls \p Take with each of State.Others after \p Cursor, once round, until
-/// it returns false.
-template <typename TakeT>
-void eachAfter(const View &State, const VmId &Cursor, TakeT Take) {
+/// For so long, a restart or a drain goes before all else that is relayed.
+constexpr Duration NewsLife = std::chrono::seconds(5);
+
+/// Adds up to \p Wanted of State.Others that \p Matches says; those after
+/// \p Cursor go first, and it moves on to the last one.
+template <typename MatchesT>
+void takeTurns(const View &State, VmId &Cursor, std::size_t Wanted,
+               MatchesT Matches, std::vector<const EntryRecord *> &Chosen) {
   auto Next = State.Others.upper_bound(Cursor);
-  for (std::size_t Count = State.Others.size(); Count > 0; --Count) {
+  for (std::size_t Left = State.Others.size(); Left > 0 && Wanted > 0; --Left) {
     if (Next == State.Others.end())
       Next = State.Others.begin();
-    if (!Take(Next->second))
-      return;
+    if (Matches(Next->second)) {
+      Chosen.push_back(&Next->second);
+      Cursor = Next->first;
+      --Wanted;
+    }
     ++Next;
   }
 }
@@ -34,25 +43,25 @@
   // which is one interval old.
   constexpr int QuietIntervals = 2;
   return !State.Trusted || isInitiator(State.Self.Vm, Other.Configured.Vm) ||
-         Other.State == EntryState::Dead ||
          silenceOf(State, Other, Now) > Settings.Interval * QuietIntervals;
 }
 
-void addRemoteTargets(View &State, const MembershipSettings &Settings,
-                      std::vector<Peer> &Targets) {
-  std::size_t Wanted = Settings.RemoteFanout;
-  VmId Last = State.RemoteCursor;
-  eachAfter(State, State.RemoteCursor, [&](const EntryRecord &Other) {
-    if (Wanted == 0)
-      return false;
-    if (isDirect(State, Other, Settings))
-      return true;
-    Targets.push_back(Other.Configured);
-    Last = Other.Configured.Vm;
-    --Wanted;
-    return true;
-  });
-  State.RemoteCursor = Last;
+std::vector<Peer> largeTargets(View &State,
+                               const MembershipSettings &Settings) {
+  auto IsLocal = [&State](const EntryRecord &Other) {
+    return Other.Configured.DataCentre == State.Self.DataCentre;
+  };
+  std::size_t Locals =
+      State.Trusted ? Settings.LocalFanout : State.Others.size();
+  std::vector<const EntryRecord *> Chosen;
+  takeTurns(State, State.LocalCursor, Locals, IsLocal, Chosen);
+  takeTurns(State, State.RemoteCursor, Settings.RemoteFanout,
+            std::not_fn(IsLocal), Chosen);
+  std::vector<Peer> Targets;
+  Targets.reserve(Chosen.size());
+  for (const EntryRecord *Other : Chosen)
+    Targets.push_back(Other->Configured);
+  return Targets;
 }
 
 } // namespace
@@ -66,41 +75,34 @@
 
 std::vector<Peer>
 heartbeatTargets(View &State, const MembershipSettings &Settings, Time Now) {
+  if (isLarge(State, Settings))
+    return largeTargets(State, Settings);
   std::vector<Peer> Targets;
   for (const auto &[Vm, Other] : State.Others) {
-    if (isDirect(State, Other, Settings) && isDue(State, Other, Settings, Now))
+    if (isDue(State, Other, Settings, Now))
       Targets.push_back(Other.Configured);
   }
-  addRemoteTargets(State, Settings, Targets);
   return Targets;
 }
 
-std::vector<EntryReport> relayedReports(View &State,
-                                        const MembershipSettings &Settings,
-                                        const VmId &To, Time Now) {
+std::vector<EntryReport>
+relayedReports(View &State, const MembershipSettings &Settings, Time Now) {
   std::vector<EntryReport> Reports;
-  auto Receiver = State.Others.find(To);
-  if (State.Others.size() + 1 <= Settings.MeshLimit ||
-      Receiver == State.Others.end())
+  if (!isLarge(State, Settings))
     return Reports;
-  const DataCentreId &Target = Receiver->second.Configured.DataCentre;
-  bool Local = Target == State.Self.DataCentre;
-  std::size_t Limit = Local ? Settings.LocalRelays : Settings.RemoteRelays;
-  VmId Last = State.RelayCursor;
-  eachAfter(State, State.RelayCursor, [&](const EntryRecord &Other) {
-    if (Reports.size() >= Limit)
-      return false;
-    // The receiver's own data centre hears itself; old news is no news.
-    if (Other.Configured.DataCentre == Target ||
-        silenceOf(State, Other, Now) > Settings.SuspectAfter ||
-        Other.State == EntryState::Suspect || Other.State == EntryState::Dead)
-      return true;
-    Reports.push_back({Other.Configured.Vm, Other.Newest, Other.Draining,
-                       Other.InForce, Other.Pools, Now - Other.HeardAt});
-    Last = Other.Configured.Vm;
-    return true;
-  });
-  State.RelayCursor = Last;
+  auto IsKnown = [](const EntryRecord &Other) {
+    return Other.Newest != Revision{};
+  };
+  auto IsNews = [Now](const EntryRecord &Other) {
+    return Other.ChangedAt != Time::min() && Now - Other.ChangedAt < NewsLife;
+  };
+  std::vector<const EntryRecord *> Chosen;
+  takeTurns(State, State.NewsCursor, Settings.Relays, IsNews, Chosen);
+  if (Chosen.empty())
+    takeTurns(State, State.RelayCursor, Settings.Relays, IsKnown, Chosen);
+  for (const EntryRecord *Other : Chosen)
+    Reports.push_back({Other->Configured.Vm, Other->Newest, Other->Draining,
+                       Other->InForce, Other->Pools});
   return Reports;
 }
 
--- a/src/membership/internal/heartbeat.cpp
+++ b/src/membership/internal/heartbeat.cpp
@@ -91,8 +91,6 @@
     Value["config_version"] = Json::UInt64(Report.InForce.value());
   for (const PoolSummary &Pool : Report.Pools)
     Value["pools"].append(poolJson(Pool));
-  if (Report.Age.count() > 0)
-    Value["age_ms"] = ageMillis(Report.Age);
 }
 
 RetVal<EntryReport> readReport(const Json::Value &Value) {
@@ -109,7 +107,6 @@
     BOOST_LEAF_AUTO(Pool, readPool(Item));
     Report.Pools.push_back(std::move(Pool));
   }
-  BOOST_LEAF_ASSIGN(Report.Age, readAge(Value));
   return Report;
 }
 
@@ -141,6 +138,10 @@
     Value["newer_incarnation"] = Json::UInt64(Message.NewerOfReceiver.value());
   for (const EntryReport &Report : Message.Relayed)
     writeReport(Value["relayed"].append(Json::Value()), Report);
+  if (!Message.Ages.empty()) {
+    Value["ages"] = Message.Ages;
+    Value["list"] = Json::UInt64(Message.ListDigest);
+  }
   for (const AgedTombstone &Left : Message.Left)
     Value["left"].append(tombstoneJson(Left));
   return Value;
@@ -149,7 +150,6 @@
 RetVal<Heartbeat> readHeartbeat(const Json::Value &Value) {
   Heartbeat Message;
   BOOST_LEAF_ASSIGN(Message.Sender, readReport(Value));
-  Message.Sender.Age = Duration(0);
   if (Value.isMember("echo")) {
     BOOST_LEAF_ASSIGN(Message.Echo, readRevision(Value["echo"]));
   }
@@ -160,6 +160,8 @@
     BOOST_LEAF_AUTO(Report, readReport(Item));
     Message.Relayed.push_back(std::move(Report));
   }
+  BOOST_LEAF_ASSIGN(Message.Ages, json::readStringOr(Value, "ages", ""));
+  BOOST_LEAF_ASSIGN(Message.ListDigest, json::readUintOr(Value, "list", 0));
   BOOST_LEAF_AUTO(Left, json::readArray(Value, "left"));
   for (const Json::Value &Item : Left) {
     BOOST_LEAF_AUTO(Mark, readTombstone(Item));
--- a/src/membership/internal/heartbeat.h
+++ b/src/membership/internal/heartbeat.h
@@ -30,6 +30,10 @@
   /// it; 0 otherwise. Everything else the receiver said was refused.
   Incarnation NewerOfReceiver;
   std::vector<EntryReport> Relayed;
+  /// In large systems: when the sender heard each entry; see ages.h. Counts
+  /// only if ListDigest is that of the receiver's list.
+  std::string Ages;
+  std::uint64_t ListDigest = 0;
   std::vector<AgedTombstone> Left;
 };
 
--- a/src/membership/internal/membershipservice.cpp
+++ b/src/membership/internal/membershipservice.cpp
@@ -6,6 +6,7 @@
 
 #include "membership/internal/membershipservice.h"
 #include "framework/log/log.h"
+#include "membership/internal/ages.h"
 #include "membership/internal/fanout.h"
 #include "membership/internal/owner.h"
 
@@ -181,7 +182,7 @@
     Self.Soon_ = TimerId();
     Self.noteTime();
     for (const auto &[Vm, Other] : Self.View_.Others) {
-      if (isDirect(Self.View_, Other, Self.Settings_))
+      if (isAwaited(Self.View_, Other, Self.Settings_))
         Self.sendTo(Other.Configured);
     }
   });
@@ -205,7 +206,11 @@
   auto Receiver = View_.Others.find(To);
   if (Receiver != View_.Others.end())
     Message.Echo = Receiver->second.Direct;
-  Message.Relayed = relayedReports(View_, Settings_, To, Now);
+  Message.Relayed = relayedReports(View_, Settings_, Now);
+  if (isLarge(View_, Settings_)) {
+    Message.Ages = writeAges(View_, Now);
+    Message.ListDigest = View_.ListDigest;
+  }
   Message.Left = spreadNext(Tombstones_, Settings_.TombstonesPerHeartbeat, Now);
   return Message;
 }
--- a/src/membership/internal/membershipservice.h
+++ b/src/membership/internal/membershipservice.h
@@ -55,7 +55,7 @@
   void tick();
   /// Sends a heartbeat to each of this interval's targets.
   void sendRound();
-  /// Sends one to every entry that is contacted directly, at the next chance.
+  /// Sends one to every entry that trust waits for, at the next chance.
   void sendSoon();
   void sendTo(const Peer &To);
   Heartbeat compose(const VmId &To);
--- a/src/membership/internal/report.h
+++ b/src/membership/internal/report.h
@@ -13,7 +13,7 @@
 
 namespace geraniumbay::membership {
 
-/// What an entry said of itself, and how long ago.
+/// What an entry said of itself. That it is relayed is no sign of life.
 struct EntryReport {
   VmId Vm;
   Revision Version;
@@ -21,9 +21,6 @@
   /// The configuration that is in force at the entry.
   ConfigVersion InForce;
   std::vector<PoolSummary> Pools;
-  /// At the sender of the message: the entry was certainly running so long
-  /// ago. 0 in the sender's report of itself.
-  Duration Age{0};
 
   bool operator==(const EntryReport &) const = default;
 };
--- a/src/membership/internal/view.cpp
+++ b/src/membership/internal/view.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "membership/internal/view.h"
+#include "membership/internal/ages.h"
 
 #include <algorithm>
 #include <optional>
@@ -29,15 +30,23 @@
   return Other.HeardAt >= State.DistrustedSince;
 }
 
+/// How many times the times of MembershipSettings count for \p Other.
+int patienceWith(const View &State, const EntryRecord &Other,
+                 const MembershipSettings &Settings) {
+  if (!isLarge(State, Settings))
+    return 1;
+  bool Local = Other.Configured.DataCentre == State.Self.DataCentre;
+  return Local ? Settings.LocalPatience : Settings.RemotePatience;
+}
+
 EntryState judge(const View &State, const EntryRecord &Other,
                  const MembershipSettings &Settings, Time Now) {
-  int Patience =
-      isDirect(State, Other, Settings) ? 1 : Settings.RelayedPatience;
+  int Patience = patienceWith(State, Other, Settings);
   Duration Silence = silenceOf(State, Other, Now);
-  // A trusted view has waited for its direct peers, but not for one that was
+  // A trusted view has waited for its peers, but not for one that was
   // configured since.
   bool IsNewcomer = State.Trusted && Other.HeardAt == Time::min() &&
-                    isDirect(State, Other, Settings);
+                    isAwaited(State, Other, Settings);
   if (IsNewcomer || Silence > Settings.DeadAfter * Patience)
     return EntryState::Dead;
   if (Other.Draining)
@@ -55,7 +64,7 @@
   return std::all_of(State.Others.begin(), State.Others.end(),
                      [&](const auto &Item) {
                        const EntryRecord &Other = Item.second;
-                       return !isDirect(State, Other, Settings) ||
+                       return !isAwaited(State, Other, Settings) ||
                               heardSinceDistrust(State, Other) ||
                               Other.State == EntryState::Dead;
                      });
@@ -99,17 +108,20 @@
 
 /// Takes in a report of \p Other and returns whether it was not of an older
 /// incarnation.
-bool takeReport(EntryRecord &Other, const EntryReport &Report, Changes &Noted) {
+bool takeReport(EntryRecord &Other, const EntryReport &Report, Time Now,
+                Changes &Noted) {
   Incarnation Known = Other.Newest.Incarnation;
   if (Report.Version.Incarnation < Known)
     return false;
   if (Report.Version <= Other.Newest)
     return true;
-  if (Known < Report.Version.Incarnation) {
+  if (Known < Report.Version.Incarnation)
     Other.Direct = {};
-    if (Known.value() != 0)
-      Noted.push_back({ChangeKind::Restarted, Report.Vm});
-  }
+  bool IsRestart = Known.value() != 0 && Known < Report.Version.Incarnation;
+  if (IsRestart)
+    Noted.push_back({ChangeKind::Restarted, Report.Vm});
+  if (IsRestart || Other.Draining != Report.Draining)
+    Other.ChangedAt = Now;
   Other.Newest = Report.Version;
   Other.Draining = Report.Draining;
   Other.InForce = Report.InForce;
@@ -117,20 +129,16 @@
   return true;
 }
 
-/// Takes in what the sender relays; \p SenderRanAt is when it certainly ran.
-void takeRelayed(View &State, const std::vector<EntryReport> &Relayed,
-                 std::optional<Time> SenderRanAt, Changes &Noted) {
+void takeRelayed(View &State, const std::vector<EntryReport> &Relayed, Time Now,
+                 Changes &Noted) {
   for (const EntryReport &Report : Relayed) {
     if (Report.Vm == State.Self.Vm) {
       meetNewerSelf(State, Report.Version.Incarnation);
       continue;
     }
     auto Found = State.Others.find(Report.Vm);
-    if (Found == State.Others.end() ||
-        !takeReport(Found->second, Report, Noted) || !SenderRanAt)
-      continue;
-    Time &HeardAt = Found->second.HeardAt;
-    HeardAt = std::max(HeardAt, *SenderRanAt - Report.Age);
+    if (Found != State.Others.end())
+      takeReport(Found->second, Report, Now, Noted);
   }
 }
 
@@ -142,6 +150,9 @@
   State.Own = {Own, 0};
   State.LastEvent = Now;
   State.DistrustedSince = Now;
+  // Each entry begins its rounds at its own place, so that not all of them try
+  // the same one at a time.
+  State.RelayCursor = State.LocalCursor = State.RemoteCursor = Self.Vm;
   return State;
 }
 
@@ -164,6 +175,7 @@
   State.Others = std::move(Next);
   State.InForce = InForce;
   State.Configured = true;
+  noteList(State);
   Noted.push_back({ChangeKind::PeersChanged, State.Self.Vm});
   refresh(State, Settings, Now, Noted);
   return Noted;
@@ -186,14 +198,16 @@
   if (Found == State.Others.end())
     return Reception::Unconfigured;
   EntryRecord &Sender = Found->second;
-  if (!takeReport(Sender, Message.Sender, Noted))
+  if (!takeReport(Sender, Message.Sender, Now, Noted))
     return Reception::Stale;
   Sender.Direct = std::max(Sender.Direct, Message.Sender.Version);
   std::optional<Time> RanAt = sentTime(State, Message.Echo);
-  if (RanAt)
+  if (RanAt) {
     Sender.HeardAt = std::max(Sender.HeardAt, *RanAt);
+    takeAges(State, Message, *RanAt);
+  }
   meetNewerSelf(State, Message.NewerOfReceiver);
-  takeRelayed(State, Message.Relayed, RanAt, Noted);
+  takeRelayed(State, Message.Relayed, Now, Noted);
   refresh(State, Settings, Now, Noted);
   return Reception::Taken;
 }
@@ -207,8 +221,8 @@
     ++Sent.First;
   }
   ++State.Own.Sequence;
-  return {State.Self.Vm, State.Own,        State.Draining,
-          State.InForce, std::move(Pools), Duration(0)};
+  return {State.Self.Vm, State.Own, State.Draining, State.InForce,
+          std::move(Pools)};
 }
 
 Changes setViewDraining(View &State, bool Draining) {
@@ -218,9 +232,9 @@
   return {{ChangeKind::StateChanged, State.Self.Vm}};
 }
 
-bool isDirect(const View &State, const EntryRecord &Other,
-              const MembershipSettings &Settings) {
-  return State.Others.size() + 1 <= Settings.MeshLimit ||
+bool isAwaited(const View &State, const EntryRecord &Other,
+               const MembershipSettings &Settings) {
+  return !isLarge(State, Settings) ||
          Other.Configured.DataCentre == State.Self.DataCentre;
 }
 
--- a/src/membership/internal/view.h
+++ b/src/membership/internal/view.h
@@ -8,7 +8,7 @@
 //
 // After a start, and after a pause of this process, the silence of the others
 // proves nothing either: the view is then not trusted until each peer that is
-// contacted directly was heard again or was silent for the dead time.
+// contacted itself was heard again or was silent for the dead time.
 //
 //===----------------------------------------------------------------------===//
 
@@ -35,6 +35,8 @@
   /// sign of life.
   Time HeardAt = Time::min();
   bool Draining = false;
+  /// When this view learned of its last restart or drain.
+  Time ChangedAt = Time::min();
   ConfigVersion InForce;
   std::vector<PoolSummary> Pools;
   /// As of the last refresh(), to notice changes.
@@ -60,6 +62,9 @@
   bool Configured = false;
   SentTimes Sent;
   std::map<VmId, EntryRecord> Others;
+  /// Of the whole list, in order of the ids: its digest and this entry's place.
+  std::uint64_t ListDigest = 0;
+  std::size_t SelfIndex = 0;
   /// When the view last had an event.
   Time LastEvent;
   /// Signs of life before this are not enough for trust.
@@ -70,8 +75,11 @@
   /// Whether a higher incarnation of this entry was seen when this one was
   /// final. Invariant: never false again, and then Trusted is false.
   bool Fenced = false;
-  /// The last report that was relayed, and the last remote entry contacted.
+  /// In large systems, the last one that took its turn to be relayed, and to
+  /// be sent a request in the own data centre and in another one.
   VmId RelayCursor;
+  VmId NewsCursor;
+  VmId LocalCursor;
   VmId RemoteCursor;
 };
 
@@ -108,10 +116,10 @@
 /// Sets whether this entry is stopping.
 Changes setViewDraining(View &State, bool Draining);
 
-/// Whether this entry exchanges heartbeats with \p Other itself in every
-/// interval.
-bool isDirect(const View &State, const EntryRecord &Other,
-              const MembershipSettings &Settings);
+/// Whether trust waits for \p Other: it is contacted itself when there is any
+/// doubt, not only by relays.
+bool isAwaited(const View &State, const EntryRecord &Other,
+               const MembershipSettings &Settings);
 
 /// Returns how long \p Other was not heard; since the last distrust at most.
 Duration silenceOf(const View &State, const EntryRecord &Other, Time Now);
--- a/src/membership/membershipsettings.h
+++ b/src/membership/membershipsettings.h
@@ -26,17 +26,20 @@
   /// Entries that own workers at the same time in one data centre.
   std::size_t PoolShards = 1;
   /// Up to this many entries, each exchanges heartbeats with every other.
-  /// Above it, only those of one data centre do, and relay the rest.
+  /// Above it, each tries a few in turn, which relay what they heard.
   std::size_t MeshLimit = 16;
-  /// Above MeshLimit: entries of other data centres tried in one interval.
+  /// Above MeshLimit: entries of the own data centre and of other ones that
+  /// are sent a request in one interval.
+  std::size_t LocalFanout = 1;
   std::size_t RemoteFanout = 1;
-  /// Above MeshLimit: reports relayed in a heartbeat to the own data centre,
-  /// and to another one.
-  std::size_t LocalRelays = 3;
-  std::size_t RemoteRelays = 8;
+  /// Above MeshLimit: whole reports of others that a heartbeat relays. The
+  /// time since each entry was heard goes with every heartbeat.
+  std::size_t Relays = 1;
   /// Above MeshLimit: SuspectAfter and DeadAfter count this many times for
-  /// entries of other data centres, which are heard through relays.
-  int RelayedPatience = 4;
+  /// entries of the own data centre and of other ones, since most signs of
+  /// life come by relay.
+  int LocalPatience = 3;
+  int RemotePatience = 4;
   /// How long a tombstone is kept; longer than any announcement is under way.
   Duration TombstoneLife = std::chrono::seconds(60);
   /// Tombstones in one heartbeat; more take turns.
--- a/src/membership/tests/membershiptest.cpp
+++ b/src/membership/tests/membershiptest.cpp
@@ -168,6 +168,9 @@
   for (std::size_t Index = 0; Index < 3; ++Index)
     Cluster.freeze(Index);
   Cluster.run(seconds(10));
+  // Another service may be the first to run after the freeze.
+  EXPECT_FALSE(Cluster.members(0).trusted());
+  EXPECT_TRUE(Cluster.members(0).ownersOf(DataCentreId("dc0")).empty());
   Cluster.thaw(0);
   EXPECT_FALSE(Cluster.members(0).trusted());
   // The others are still frozen: their old messages are no sign of life.
@@ -225,6 +228,21 @@
   Cluster.Network.attach(Cluster.Peers[1].Address, Cluster.Entries[1]->Node);
 }
 
+TEST(MembershipTest, AConfiguredNewcomerIsDeadUntilItIsHeard) {
+  TestCluster Cluster(1, 3, 1);
+  std::vector<Peer> All = Cluster.Peers;
+  Cluster.Peers.pop_back();
+  Cluster.start(0);
+  Cluster.start(1);
+  Cluster.run(milliseconds(100));
+  Cluster.Peers = All;
+  Cluster.Entries[0]->Members.setPeers(All, ConfigVersion(2));
+  EXPECT_EQ(Cluster.seen(0, 2).State, EntryState::Dead);
+  Cluster.start(2);
+  Cluster.run(milliseconds(600));
+  EXPECT_EQ(Cluster.seen(0, 2).State, EntryState::Alive);
+}
+
 TEST(MembershipTest, ADrainingEntryOwnsNothingAtOnce) {
   TestCluster Cluster(1, 2, 1);
   Cluster.startAll();
--- a/src/membership/tests/testcluster.h
+++ b/src/membership/tests/testcluster.h
@@ -89,14 +89,15 @@
   AnnouncementService Announcements;
 };
 
-/// Entries named e0, e1, ... spread over data centres dc0, dc1, ...
+/// Entries named e100, e101, ... (in order of the ids) spread over data centres
+/// dc0, dc1, ...; at most 900.
 class TestCluster {
 public:
   TestCluster(std::uint64_t Seed, std::size_t Size, std::size_t DataCentres,
               MembershipSettings Settings = {})
       : Network(Seed), Settings(Settings) {
     for (std::size_t Index = 0; Index < Size; ++Index)
-      Peers.push_back({VmId("e" + std::to_string(Index)),
+      Peers.push_back({VmId("e" + std::to_string(100 + Index)),
                        DataCentreId("dc" + std::to_string(Index % DataCentres)),
                        {"10.0.0.1", static_cast<std::uint16_t>(1000 + Index)}});
     Entries.resize(Size);
