--- a/src/ledger/tests/cluster.cpp
+++ b/src/ledger/tests/cluster.cpp
@@ -20,7 +20,9 @@
 
 TestProcess::TestProcess(Cluster &Owner, std::size_t Number)
     : Owner(Owner),
-      Number(Number), At{"10.0.0.1", static_cast<std::uint16_t>(Number)} {}
+      Number(Number), At{"10.0.0.1", static_cast<std::uint16_t>(Number)} {
+  Timers.emplace(Owner.Clock);
+}
 
 void TestProcess::call(const Endpoint &To, const std::string &Method,
                        Json::Value Params, Duration Timeout, Callback Done) {
@@ -64,6 +66,7 @@
   ++Process.Start;
   Process.Ledger.reset();
   Process.Client.reset();
+  Process.Timers.emplace(Clock);
   Process.Methods.clear();
   Process.Backlog.clear();
   Process.Frozen = false;
@@ -73,7 +76,6 @@
 void Cluster::start(std::size_t Number) {
   TestProcess &Process = at(Number);
   ++Process.Start;
-  Process.Timers.emplace(Clock);
   if (Number >= Ledgers_) {
     Process.Client = std::make_unique<LedgerClient>(
         LedgerClientConfig{}, Clock, *Process.Timers, Process,
@@ -109,6 +111,7 @@
   Loss = Repeats = Late = 0;
   Cuts_.clear();
   WithoutControl.clear();
+  WithoutViews.clear();
   for (std::size_t Number = 0; Number < size(); ++Number) {
     thaw(Number);
     at(Number).Disk.setSyncsFail(false);
@@ -292,7 +295,8 @@
     return;
   for (std::size_t Number = 0; Number < size(); ++Number) {
     TestProcess &Process = at(Number);
-    if (Process.Frozen || WithoutControl.contains(Number) || happens(Loss))
+    if (Process.Frozen || WithoutControl.contains(Number) ||
+        WithoutViews.contains(Number) || happens(Loss))
       continue;
     if (Process.Ledger)
       Process.Ledger->applyView(View);
--- a/src/ledger/tests/cluster.h
+++ b/src/ledger/tests/cluster.h
@@ -36,6 +36,7 @@
   const std::size_t Number;
   const Endpoint At;
   FakeStorage Disk;
+  /// Made anew by a crash.
   std::optional<TimerQueue> Timers;
   std::map<std::string, Method> Methods;
   std::unique_ptr<LedgerService> Ledger;
@@ -97,6 +98,8 @@
   std::vector<LedgerMember> Lost;
   /// Processes that control can't reach, and that can't reach it.
   std::set<std::size_t> WithoutControl;
+  /// Processes whose proposals arrive but that hear nothing of control.
+  std::set<std::size_t> WithoutViews;
   /// Chances in percent.
   std::uint64_t Loss = 0;
   std::uint64_t Repeats = 0;
--- a/src/ledger/tests/replicationtest.cpp
+++ b/src/ledger/tests/replicationtest.cpp
@@ -1,5 +1,6 @@
 //===- replicationtest.cpp - Focused failures of a replicated ledger ------===//
 
+#include "ledger/internal/entrywire.h"
 #include "ledger/tests/cluster.h"
 
 #include <gtest/gtest.h>
@@ -24,6 +25,17 @@
     EXPECT_TRUE(Reply.ok()) << Reply.error().Message;
     return Reply ? Reply->State : ClaimState::Mismatch;
   }
+  /// Calls a method of the primary, or of \p To, as it is.
+  Outcome<Json::Value> raw(std::size_t From, const char *Method,
+                           Json::Value Params,
+                           std::optional<std::size_t> To = {}) {
+    std::optional<Outcome<Json::Value>> Result;
+    System.at(From).call(
+        System.at(To.value_or(First)).At, Method, std::move(Params), seconds(5),
+        [&](const Outcome<Json::Value> &Reply) { Result.emplace(Reply); });
+    System.runUntil([&] { return Result.has_value(); });
+    return *Result;
+  }
   void restart(std::size_t Number) {
     System.crash(Number);
     System.start(Number);
@@ -73,6 +85,51 @@
   EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Granted);
 }
 
+TEST_F(ReplicationTest, AClaimWhoseReplyGotLostIsReleased) {
+  std::string Id = System.issue(1);
+  std::optional<Outcome<ClaimReply>> Lost;
+  System.at(2).Client->claim(
+      DataCentreId("dc"), SubmissionId(Id), "d",
+      System.Clock.now() + milliseconds(500),
+      [&](const Outcome<ClaimReply> &Reply) { Lost.emplace(Reply); });
+  std::uint64_t Before = System.primary()->Ledger->status().LastIndex;
+  ASSERT_TRUE(System.runUntil(
+      [&] { return System.primary()->Ledger->status().LastIndex > Before; }));
+  System.setCut(2, First, true);
+  ASSERT_TRUE(System.runUntil([&] { return Lost.has_value(); }));
+  ASSERT_FALSE(Lost->ok());
+  EXPECT_EQ(Lost->error().Code, ErrorCode::Timeout);
+  System.setCut(2, First, false);
+  System.run(seconds(2));
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, ATryThatComesAfterItsReleaseIsNotGranted) {
+  Holder By{System.vm(2), Incarnation(9)};
+  SubmissionId Id(System.issue(1));
+  EXPECT_TRUE(raw(2, method::Release, toJson(ReleaseRequest{Id, By, 5})).ok());
+  auto Late = raw(2, method::Claim, toJson(ClaimRequest{Id, "d", By, 5, {}}));
+  ASSERT_FALSE(Late.ok());
+  EXPECT_EQ(Late.error().Code, ErrorCode::Conflict);
+  EXPECT_EQ(state(System.claim(3, Id.value())), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, ACopyThatComesLateUndoesNothing) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  CopyRequest Late;
+  Late.Header = {DataCentreId("dc"), System.View.Number, 1, System.vm(First),
+                 System.View.memberOn(System.vm(Second))->Disk};
+  Late.IsLast = true;
+  Late.Head.Kind = RecordKind::Head;
+  Late.Head.NewEpoch = Epoch(1);
+  EXPECT_TRUE(raw(First, method::Copy, toJson(Late), Second).ok());
+  System.crash(First);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(1); }));
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+}
+
 TEST_F(ReplicationTest, ARestartedHolderGetsTheFailureThatItMayHaveRun) {
   std::string Id = System.issue(1);
   EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
@@ -164,6 +221,24 @@
   EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
 }
 
+TEST_F(ReplicationTest, AProposedMemberIsWaitedForEvenAfterARestart) {
+  System.crash(Second);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(1); }));
+  System.WithoutViews = {First};
+  System.start(Second);
+  ASSERT_TRUE(System.runUntil([&] { return System.View.Members.size() == 2; }));
+  // The primary does not know that its proposal went through. From here on the
+  // new member may take over, so nothing may be granted without it.
+  restart(First);
+  System.setCut(First, Second, true);
+  System.WithoutControl = {Second};
+  System.run(seconds(2));
+  EXPECT_FALSE(System.claim(2, System.issue(1)).ok());
+  System.healAll();
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(state(System.claim(2, System.issue(2))), ClaimState::Granted);
+}
+
 TEST_F(ReplicationTest, AfterATotalLossNoOlderIdIsGranted) {
   std::string Old = System.issue(1);
   std::string Unused = System.issue(2);
@@ -183,8 +258,12 @@
   System.crash(First);
   wipe(Second);
   wipe(First);
+  ASSERT_TRUE(
+      System.runUntil([&] { return System.View.LedgerEpoch == Epoch(2); }));
+  // A wall clock that jumps ahead must not end the wait: neither before the
+  // ledger hears of its new epoch nor after.
+  System.Clock.stepWall(hours(48));
   ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
-  // A wall clock that jumps ahead must not end the wait.
   System.Clock.stepWall(hours(48));
   auto Early = System.claim(3, "caller/key");
   ASSERT_FALSE(Early.ok());
