--- a/src/control/configtypes.h
+++ b/src/control/configtypes.h
@@ -22,9 +22,9 @@
 /// The id that an operator gives to a change, so that a resend is recognised.
 using OperationId = StrongId<struct OperationTag, std::string>;
 /// Counts the views of one data centre's ledger; each change adds one.
-using ViewNumber = StrongId<struct ViewNumberTag, std::uint64_t>;
+using ViewNumber = StrongId<struct ControlViewNumberTag, std::uint64_t>;
 /// The id that a ledger writes on a fresh disk. A lost disk means a new one.
-using DiskId = StrongId<struct DiskTag, std::uint64_t>;
+using DiskId = StrongId<struct ControlDiskTag, std::uint64_t>;
 /// Counts the changes that watchers can see (configuration or ledger views).
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
 
--- a/src/control/internal/raft.h
+++ b/src/control/internal/raft.h
@@ -28,10 +28,10 @@
   std::vector<VmId> ControlVms;
   /// Whether this member may take part in founding a group.
   bool MayFound = false;
-  Duration Heartbeat = std::chrono::milliseconds(250);
+  Duration Heartbeat = std::chrono::milliseconds(500);
   /// A follower waits this long to twice this long for its leader. A leader
   /// that has not heard from a majority for this long steps down.
-  Duration ElectionTimeout = std::chrono::milliseconds(1500);
+  Duration ElectionTimeout = std::chrono::milliseconds(2000);
   /// How often a member without a group asks for one.
   Duration FindInterval = std::chrono::milliseconds(500);
   /// The log is compacted when it holds more entries or bytes than this.
--- a/src/control/tests/groupfake.h
+++ b/src/control/tests/groupfake.h
@@ -65,6 +65,9 @@
   }
   bool up(std::size_t I) const { return Members[I]->Runner != nullptr; }
   std::size_t inGroup() const;
+  /// Whether, by the membership of each member, a majority of the voters still
+  /// has the disk it voted from.
+  bool canElect() const;
   /// Compares the logs of every two members.
   void checkLogs();
 
--- a/src/control/tests/groupproperties.cpp
+++ b/src/control/tests/groupproperties.cpp
@@ -53,6 +53,8 @@
     else if (What.Kind < 94)
       Group_.cutLink(I, (I + 1 + What.B % 2) % Group_.Members.size(),
                      What.B % 3 == 0);
+    else if (What.Kind < 95 && What.B % 4 == 0)
+      Group_.run(Duration(1ms) * What.A);
     else if (What.Kind < 95)
       What.B % 2 == 0 ? Group_.freeze(I) : Group_.thaw(I);
     else
@@ -139,6 +141,7 @@
   }
   int Leader = Group.runToLeader();
   RC_TAG(Leader >= 0);
+  RC_ASSERT(Leader >= 0 || !Group.canElect());
   if (Leader >= 0)
     Group.run(5s);
   Group.checkLogs();
--- a/src/control/tests/grouptest.cpp
+++ b/src/control/tests/grouptest.cpp
@@ -280,6 +280,27 @@
   EXPECT_EQ(Group.at(Lost).Machine.Version, ConfigVersion(1));
 }
 
+TEST_F(GroupTest, ATornTailIsCutAndTheMemberKeepsItsIdentity) {
+  startAll();
+  ASSERT_EQ(change("a", 0), accepted(1));
+  for (std::size_t Round = 0; Round < 2; ++Round)
+    for (std::size_t I = 0; I < 3; ++I) {
+      MemberId Before = Group.at(I).Raft.Self;
+      Group.crash(I);
+      FakeStorage &Disk = Group.Members[I]->Disk;
+      auto Names = attempt([&] { return Disk.list(); });
+      for (const std::string &Name : *Names)
+        if (Name.starts_with("log-"))
+          (void)attempt([&] { return Disk.append(Name, "torn"); });
+      Group.start(I);
+      EXPECT_EQ(Group.at(I).Raft.Self, Before);
+      std::uint64_t Now = 1 + Round * 3 + I;
+      EXPECT_EQ(change("t" + std::to_string(Now), Now), accepted(Now + 1));
+      Group.run(1s);
+    }
+  EXPECT_EQ(Group.at(leader()).Machine.Version, ConfigVersion(7));
+}
+
 TEST_F(GroupTest, ARemovedMemberIsOutAndTheLastTwoGoOn) {
   startAll();
   std::size_t Out = (leader() + 1) % 3;
--- a/src/control/tests/rafttest.cpp
+++ b/src/control/tests/rafttest.cpp
@@ -75,13 +75,62 @@
   EXPECT_EQ(State.Hard.Current, Term(3));
 }
 
-TEST(RaftTest, AnEntryOfAnEarlierTermCommitsOnlyThroughOneOfTheOwnTerm) {
-  RaftState State = follower();
-  Time Now = Start + 10s;
+/// Makes \p State the leader of term 4, with its first entry at index 3.
+void lead(RaftState &State, Time Now) {
   step(State, Tick{}, Now);
   receive(State, Second, 4, VoteResponse{true, true}, Now);
   receive(State, Second, 4, VoteResponse{false, true}, Now);
   ASSERT_EQ(State.Current, Role::Leader);
+}
+
+TEST(RaftTest, OneChangeOfMembersAtATimeAndOnlyInTheLeadersOwnTerm) {
+  RaftState State = follower();
+  Time Now = Start + 10s;
+  lead(State, Now);
+  const MemberId NewThird{Third.Vm, Generation(9)};
+  const MemberId NewSecond{Second.Vm, Generation(8)};
+  receive(State, NewThird, 0, FindGroup{}, Now);
+  EXPECT_EQ(lastIndex(State.Log), LogIndex(3)) << "before its own term commits";
+  receive(State, Second, 4, AppendResponse{true, LogIndex(3)}, Now);
+  receive(State, NewThird, 0, FindGroup{}, Now);
+  EXPECT_EQ(State.Group.Members.Learners, std::vector{NewThird});
+  receive(State, NewSecond, 0, FindGroup{}, Now);
+  EXPECT_EQ(lastIndex(State.Log), LogIndex(4)) << "before the last one commits";
+  EXPECT_EQ(State.Group.Members.Voters.size(), 3U);
+}
+
+TEST(RaftTest, ANewDiskTakesTheOldOnesPlaceOnlyWhenThatOneIsSilent) {
+  RaftState State = follower();
+  Time Now = Start + 10s;
+  lead(State, Now);
+  const MemberId NewThird{Third.Vm, Generation(9)};
+  auto Answer = [&](const MemberId &From, std::uint64_t Match) {
+    receive(State, From, 4, AppendResponse{true, LogIndex(Match)}, Now);
+  };
+  Answer(Second, 3);
+  receive(State, NewThird, 0, FindGroup{}, Now);
+  Answer(Second, 4);
+  Answer(Third, 4);
+  Answer(NewThird, 4);
+  step(State, Tick{}, Now);
+  EXPECT_EQ(lastIndex(State.Log), LogIndex(4)) << "the old one still answers";
+  Now += 3s;
+  Answer(Second, 4);
+  Answer(NewThird, 4);
+  step(State, Tick{}, Now);
+  EXPECT_EQ(State.Group.Members.Voters, (std::vector{Self, Second}));
+  Answer(Second, 5);
+  step(State, Tick{}, Now);
+  EXPECT_EQ(State.Group.Members.Voters.size(), 2U) << "it has not caught up";
+  Answer(NewThird, 5);
+  step(State, Tick{}, Now);
+  EXPECT_EQ(State.Group.Members.Voters, (std::vector{Self, Second, NewThird}));
+}
+
+TEST(RaftTest, AnEntryOfAnEarlierTermCommitsOnlyThroughOneOfTheOwnTerm) {
+  RaftState State = follower();
+  Time Now = Start + 10s;
+  lead(State, Now);
   receive(State, Second, 4, AppendResponse{true, LogIndex(2)}, Now);
   EXPECT_EQ(State.Commit, LogIndex(0));
   receive(State, Second, 4, AppendResponse{true, LogIndex(3)}, Now);
