--- a/src/control/icontrolclient.h
+++ b/src/control/icontrolclient.h
@@ -30,7 +30,9 @@
   virtual void
   changeLedger(LedgerChange Change,
                std::function<void(Outcome<LedgerAnswer>)> Done) = 0;
-  /// Removes the control VM \p Vm from the group for good; not the leader.
+  /// Removes the control VM \p Vm from the group; Refused for the leader (stop
+  /// its process first). While the settings still list it, an empty folder lets
+  /// it join again.
   virtual void removeMember(VmId Vm,
                             std::function<void(Outcome<Done>)> Answer) = 0;
   /// Asks for the merged report.
--- a/src/control/tests/servicefake.cpp
+++ b/src/control/tests/servicefake.cpp
@@ -25,14 +25,14 @@
     if (Server == Servers.end())
       return Finish(Error{ErrorCode::Refused, "nothing listens"});
     Server->second.at(Method)(
-        Params, [this, From, To, Finish](Outcome<Json::Value> Result) {
+        Params, [this, From, To, Finish](const Outcome<Json::Value> &Result) {
           if (!Cut.contains(From) && !Cut.contains(To))
             Timers_.after(1ms, [Finish, Result] { Finish(Result); });
         });
   });
 }
 
-ServiceFake::ServiceFake(std::string FirstDocument) {
+ServiceFake::ServiceFake(const std::string &FirstDocument) {
   for (int I = 1; I <= 3; ++I)
     Peers.push_back(
         {VmId("c" + std::to_string(I)), {"10.0.0." + std::to_string(I), 7000}});
--- a/src/control/tests/servicefake.h
+++ b/src/control/tests/servicefake.h
@@ -62,7 +62,7 @@
 /// Three control VMs at 10.0.0.1 to 10.0.0.3; other processes from 10.0.1.1.
 class ServiceFake {
 public:
-  explicit ServiceFake(std::string FirstDocument = "");
+  explicit ServiceFake(const std::string &FirstDocument = "");
 
   Endpoint controlAt(std::size_t I) const { return Peers[I].At; }
   void run(Duration For);
--- a/src/control/tests/servicetest.cpp
+++ b/src/control/tests/servicetest.cpp
@@ -80,8 +80,12 @@
 TEST(ServiceTest, AControlVmThatIsCutOffHoldsNobodyBack) {
   ServiceFake Net;
   auto Rpc = Net.process(1);
-  auto Source = Net.source(*Rpc, "e1");
   std::size_t Away = (leaderOf(Net.status()) + 1) % 3;
+  ConfigSourceOptions Options;
+  Options.Self.Vm = VmId("e1");
+  Options.ControlVms = {Net.controlAt(Away), Net.controlAt((Away + 1) % 3)};
+  ConfigSource Source(std::move(Options), *Rpc, Net.Timers, nullptr);
+  Source.start();
   // The others cannot reach it, but processes still get its old answers.
   for (const char *Name : {"control.append", "control.vote"})
     Net.Net.Servers[Net.controlAt(Away)][Name] =
@@ -90,7 +94,7 @@
   Net.run(4s);
   for (int I = 0; I < 100; ++I) {
     Net.run(100ms);
-    ASSERT_EQ(Source->current().Version, ConfigVersion(1));
+    ASSERT_EQ(Source.current().Version, ConfigVersion(1));
   }
   EXPECT_EQ(Net.Vms[Away]->Service->published().Version, ConfigVersion(0));
 }
