--- a/src/dispatch/benchmarks/dispatchbench.cpp
+++ b/src/dispatch/benchmarks/dispatchbench.cpp
@@ -96,7 +96,7 @@
   for (std::int64_t I = 0; I < State.range(0) * 4; ++I)
     Pool.ask();
   Pool.grant();
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     Pool.ask();
     Pool.grant();
     Pool.releaseOldest();
@@ -114,7 +114,7 @@
   for (std::int64_t I = 0; I < State.range(0) * SlotsPerWorker + Queued; ++I)
     Pool.ask();
   Pool.grant();
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     Pool.ask();
     Pool.releaseOldest();
     Pool.grant();
@@ -133,7 +133,7 @@
     Pool.ask();
   Pool.grant();
   std::int64_t Next = 0;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     WorkerAnnouncement From = worker(Next++ % State.range(0));
     From.Busy = 4;
     Pool.Clock.advance(Duration(1));
@@ -155,7 +155,7 @@
     Added.TaskRun = std::chrono::milliseconds(300);
     push(Queue, Added, 1);
   }
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     Waiting &Next = *front(Queue);
     takeTask(Queue, Next);
     Next.TasksLeft = 1;
@@ -172,7 +172,7 @@
   PoolPolicy Policy;
   for (int I = 0; I < Teams; ++I)
     Policy.Teams[TeamId("team-" + std::to_string(I))] = {2, 500};
-  for (auto Step : State)
+  while (State.KeepRunning())
     setPolicy(*Pool.Pool, Policy);
 }
 BENCHMARK(policyChange)->ArgName("workers")->Arg(48)->Arg(4900);
@@ -190,7 +190,7 @@
   }
   PoolRequest Job = request(1);
   Job.Tasks = 200;
-  for (auto Step : State)
+  while (State.KeepRunning())
     benchmark::DoNotOptimize(route({}, Job, DataCentreId("dc-1"), Pools, {}));
 }
 BENCHMARK(routeJob)->ArgName("pools")->Arg(3)->Arg(8)->Arg(32);
@@ -203,7 +203,7 @@
                          WorkerId("worker-1"), Endpoint{"10.0.0.1", 8080}}},
                        {}};
   std::size_t Bytes = 0;
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     std::string Texts[] = {
         json::write(writeAcquire(Acquire)), json::write(writeGrant(Granted)),
         json::write(writeRelease({{LeaseId(1), LeaseOutcome::Succeeded,
@@ -230,7 +230,7 @@
 
 /// Memory of a pool with all slots leased, per worker.
 void memoryOfAPool(benchmark::State &State) {
-  for (auto Step : State) {
+  while (State.KeepRunning()) {
     double Before = residentBytes();
     LargePool Pool(State.range(0));
     for (std::int64_t I = 0; I < State.range(0) * SlotsPerWorker; ++I)
--- a/src/dispatch/internal/announcements.cpp
+++ b/src/dispatch/internal/announcements.cpp
@@ -61,6 +61,19 @@
   Target.LastExcess = Excess;
 }
 
+/// Counts the leases that run far longer than expected: a slow worker is known
+/// before its first slow task ends.
+void updateOverdue(const PoolState &Pool, Worker &Target, Time Now) {
+  constexpr int FarOver = 3;
+  Target.Overdue = 0;
+  if (!Pool.Policy.SlowLast)
+    return;
+  for (LeaseId Id : Target.Leases) {
+    const LeaseState &State = Pool.Leases.at(Id);
+    Target.Overdue += Now - State.GrantedAt > State.Expected * FarOver ? 1 : 0;
+  }
+}
+
 } // namespace
 
 bool announce(PoolState &Pool, const WorkerAnnouncement &Announcement,
@@ -89,6 +102,7 @@
   Pool.ByHeard.emplace(Now, Announcement.Worker);
   reclaimOrphans(Pool, Target, Now);
   updateForeign(Target, First);
+  updateOverdue(Pool, Target, Now);
   placeWorker(Target);
   return true;
 }
--- a/src/dispatch/internal/poolstate.h
+++ b/src/dispatch/internal/poolstate.h
@@ -55,6 +55,9 @@
   WorkerHealth Health;
   /// Mean of ln(ran / expected) of its tasks.
   double LogSlowness = 0;
+  /// Leases that were far over their expected run time at the last
+  /// announcement.
+  std::uint32_t Overdue = 0;
   /// No announcement for SilentAfter.
   bool Silent = false;
   /// Number of the pick that chose it last; unique in the pool.
@@ -114,6 +117,8 @@
   std::map<std::uint64_t, Waiting *> Repeatable;
   std::unordered_map<TeamId, std::uint32_t> TeamLeases;
   std::unordered_map<CallerId, CallerFailures> Failures;
+  /// Mean of ln(ran / expected) over all workers.
+  double LogSlowness = 0;
   /// Mean run time of a task in seconds; 0 if none was seen.
   double MeanRun = 0;
 };
--- a/src/dispatch/internal/workers.cpp
+++ b/src/dispatch/internal/workers.cpp
@@ -34,9 +34,19 @@
   return std::min(Free, Window);
 }
 
+/// True if the worker runs its tasks much slower than the others.
+bool isSlow(const Worker &Target) {
+  /// Twice as slow as the mean, as a logarithm.
+  constexpr double MuchSlower = 0.7;
+  constexpr std::uint32_t ManyOverdue = 2;
+  return Target.LogSlowness - Target.Service->LogSlowness > MuchSlower ||
+         Target.Overdue >= ManyOverdue;
+}
+
 FreeKey freeKey(const Worker &Target) {
   constexpr std::uint32_t BusyScale = 1024;
   FreeKey Key;
+  Key.Slowness = isSlow(Target) ? 1 : 0;
   Key.Busy = leasedSlots(Target) * BusyScale / std::max(Target.Last.Slots, 1U);
   Key.LastPick = Target.LastPick;
   return Key;
--- a/src/dispatch/pool.cpp
+++ b/src/dispatch/pool.cpp
@@ -12,6 +12,7 @@
 #include "dispatch/internal/workers.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumbay::dispatch {
 namespace {
@@ -31,14 +32,32 @@
   Service.MeanRun += (Seconds - Service.MeanRun) * Weight;
 }
 
+/// Takes the run time of a task that succeeded into the worker's speed.
+void learnSpeed(const PoolState &Pool, Worker &Target, const LeaseState &State,
+                Duration Ran) {
+  constexpr double WorkerWeight = 0.2;
+  constexpr double ServiceWeight = 0.02;
+  if (!Pool.Policy.SlowLast)
+    return;
+  auto Took = static_cast<double>(std::max(Ran, Duration(1)).count());
+  auto Expected =
+      static_cast<double>(std::max(State.Expected, Duration(1)).count());
+  double LogFactor = std::log(Took / Expected);
+  Target.LogSlowness += (LogFactor - Target.LogSlowness) * WorkerWeight;
+  double &Mean = Target.Service->LogSlowness;
+  Mean += (LogFactor - Mean) * ServiceWeight;
+}
+
 /// Takes the outcome into the health of the worker.
 void judge(PoolState &Pool, LeaseId Id, const LeaseState &State,
-           LeaseOutcome Outcome, Time Now) {
+           LeaseOutcome Outcome, Duration Ran, Time Now) {
   auto Found = Pool.Workers.find(State.On);
   if (Found == Pool.Workers.end() ||
       Found->second.Generation != State.Generation)
     return;
   Worker &Target = Found->second;
+  if (Outcome == LeaseOutcome::Succeeded)
+    learnSpeed(Pool, Target, State, Ran);
   // Leases from before the ejection say nothing that is not known.
   if (Target.Health.Ejected && !State.Probe)
     return;
@@ -149,7 +168,7 @@
   const LeaseState &State = Found->second;
   if (Outcome == LeaseOutcome::Succeeded)
     learnFrom(Pool, State, Ran, Now);
-  judge(Pool, Id, State, Outcome, Now);
+  judge(Pool, Id, State, Outcome, Ran, Now);
   endLease(Pool, Id);
 }
 
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -50,6 +50,8 @@
   /// After a failure, only leases granted later count as proof that the worker
   /// is well again; results of earlier ones come from before its fault.
   bool ProofAfterFailure = true;
+  /// Workers that run tasks much slower than the others are picked last.
+  bool SlowLast = true;
   /// Time until the first probe of a worker that was left out; doubles with
   /// each failed probe up to the maximum.
   Duration ProbeAfter = std::chrono::seconds(1);
--- a/src/dispatch/tests/outliertest.cpp
+++ b/src/dispatch/tests/outliertest.cpp
@@ -108,6 +108,36 @@
   EXPECT_EQ(Fixture.grants().size(), 2U);
 }
 
+TEST(OutlierTest, ASlowWorkerIsPickedLastAlsoBeforeItsFirstTaskEnds) {
+  PoolFixture Fixture;
+  Fixture.addWorkers(2);
+  Fixture.ask(request("early", 4));
+  for (const Lease &Each : Fixture.grants())
+    if (Each.Worker == WorkerId("w1"))
+      Fixture.done(Each, LeaseOutcome::Succeeded);
+  Fixture.Clock.advance(milliseconds(400));
+  announce(*Fixture.Pool, worker("w0"), Fixture.Clock.now());
+  Fixture.ask(request("job", 8));
+  for (const Lease &Each : Fixture.grants()) {
+    EXPECT_EQ(Each.Worker, WorkerId("w1"));
+    Fixture.done(Each, LeaseOutcome::Succeeded);
+  }
+}
+
+TEST(OutlierTest, AWorkerWhoseTasksRunLongIsPickedLast) {
+  PoolFixture Fixture;
+  Fixture.addWorkers(2);
+  for (int Round = 0; Round < 5; ++Round) {
+    Fixture.ask(request("r" + std::to_string(Round), 2));
+    for (const Lease &Each : Fixture.grants())
+      Fixture.done(Each, LeaseOutcome::Succeeded,
+                   milliseconds(Each.Worker == WorkerId("w0") ? 900 : 100));
+  }
+  Fixture.ask(request("job", 8));
+  for (const Lease &Each : Fixture.grants())
+    EXPECT_EQ(Each.Worker, WorkerId("w1"));
+}
+
 TEST(OutlierTest, AnUnreachableWorkerIsLeftOutAndAGuardsRefusalIsBelieved) {
   PoolFixture Fixture;
   Fixture.addWorkers(1);
--- a/src/model/policies.cpp
+++ b/src/model/policies.cpp
@@ -31,6 +31,7 @@
   Policy Result;
   Result.Name = "v1";
   Result.Pool.SizeRank = 0;
+  Result.Pool.SlowLast = false;
   Result.Pool.ProofAfterFailure = false;
   Result.Pool.RankByRemaining = false;
   Result.Route.RemotePenalty = std::chrono::hours(1);
@@ -80,12 +81,20 @@
   return Result;
 }
 
+/// Slow workers are picked last.
+Policy version7() {
+  Policy Result = version6();
+  Result.Name = "v7";
+  Result.Pool.SlowLast = true;
+  return Result;
+}
+
 } // namespace
 
 const std::vector<Policy> &policies() {
   static const std::vector<Policy> All = {naive(),    central(),  version1(),
                                           version2(), version3(), version4(),
-                                          version5(), version6()};
+                                          version5(), version6(), version7()};
   return All;
 }
 
