Refuse RPC results and stored values that are no JSON objects

jsoncpp's isMember throws on a value that is no object, so a peer's malformed result could have thrown through the loop from four places.

--- a/src/control/internal/configsource.cpp
+++ b/src/control/internal/configsource.cpp
@@ -112,13 +112,13 @@
 
 /// Fields that are left out are as this process has them.
 RetVal<ConfigSnapshot> ConfigSource::readAnswer(const Json::Value &From) const {
+  BOOST_LEAF_AUTO(Version, wire::readNumber<ConfigVersion>(From, "version"));
   ConfigSnapshot New = Current_;
-  if (From.isMember("document")) {
-    BOOST_LEAF_ASSIGN(New.Version,
-                      wire::readNumber<ConfigVersion>(From, "version"));
+  if (wire::hasField(From, "document")) {
+    New.Version = Version;
     BOOST_LEAF_ASSIGN(New.Document, json::readString(From, "document"));
   }
-  if (From.isMember("ledgers")) {
+  if (wire::hasField(From, "ledgers")) {
     BOOST_LEAF_ASSIGN(New.Seen, wire::readNumber<Revision>(From, "revision"));
     BOOST_LEAF_ASSIGN(New.Ledgers, wire::readLedgerViews(From));
   }
--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -261,7 +261,7 @@
                              const Reply &Answer) {
   const auto &Leader = Runner_->replica().Raft.Leader;
   const ControlPeer *To = Leader ? peer(Leader->Vm) : nullptr;
-  bool Again = Params.isMember("forwarded");
+  bool Again = wire::hasField(Params, "forwarded");
   if (!To || Again || To->Vm == Options_.Self || Runner_->failed())
     return Answer(noLeader());
   Params["forwarded"] = true;
--- a/src/control/internal/raftwire.cpp
+++ b/src/control/internal/raftwire.cpp
@@ -245,7 +245,7 @@
   BOOST_LEAF_ASSIGN(Result.HadGroup,
                     json::readBoolOr(From, "had_group", false));
   BOOST_LEAF_ASSIGN(Result.Current, readNumber<Term>(From, "term"));
-  if (!From.isMember("vote"))
+  if (!hasField(From, "vote"))
     return Result;
   BOOST_LEAF_AUTO(Vote, json::readObject(From, "vote"));
   BOOST_LEAF_ASSIGN(Result.Vote, readMember(Vote));
--- a/src/control/internal/wire.cpp
+++ b/src/control/internal/wire.cpp
@@ -205,7 +205,9 @@
 RetVal<LedgerAnswer> readLedgerAnswer(const Json::Value &From) {
   LedgerAnswer Result;
   BOOST_LEAF_ASSIGN(Result.Failure, readFailure(From));
-  if (!From.isMember("view"))
+  if (!Result.Failure && !hasField(From, "view"))
+    return fail(ErrorCode::InvalidArgument, "an answer without a view");
+  if (!hasField(From, "view"))
     return Result;
   BOOST_LEAF_AUTO(View, json::readObject(From, "view"));
   BOOST_LEAF_ASSIGN(Result.View, readLedgerView(View));
--- a/src/control/internal/wire.h
+++ b/src/control/internal/wire.h
@@ -80,6 +80,11 @@
   return Result;
 }
 
+/// Whether \p From is an object with the field \p Name; safe on any value.
+inline bool hasField(const Json::Value &From, const char *Name) {
+  return From.isObject() && From.isMember(Name);
+}
+
 /// Reads a strong id over a whole number.
 template <typename IdT>
 RetVal<IdT> readNumber(const Json::Value &From, const char *Name) {
--- a/src/control/tests/machinetest.cpp
+++ b/src/control/tests/machinetest.cpp
@@ -60,6 +60,20 @@
   EXPECT_EQ(apply(State, First).Failure, ErrorCode::Conflict);
 }
 
+TEST(WireTest, WhatIsNoObjectIsAnErrorAndNoException) {
+  for (const Json::Value &Bad :
+       {Json::Value("text"), Json::Value(7), Json::Value(Json::arrayValue),
+        Json::Value(Json::nullValue), Json::Value(Json::objectValue)}) {
+    EXPECT_FALSE(attempt([&] { return wire::readMessage(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readHardState(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readSnapshot(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readStatus(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readConfigAnswer(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readLedgerAnswer(Bad); }).ok());
+    EXPECT_FALSE(attempt([&] { return wire::readLedgerChange(Bad); }).ok());
+  }
+}
+
 /// A view as sets of "vm/disk", by the rules as DESIGN.md words them.
 struct NaiveView {
   std::uint64_t Number = 0;
