Ask another pool after 150 ms without an answer

Cause: in the cut scene a request of the cut data centre waited 500 ms for each owner it could not reach before it was told "not run"; a pool answers within a round trip of a few milliseconds.

--- a/src/dispatch/internal/poolclient.cpp
+++ b/src/dispatch/internal/poolclient.cpp
@@ -12,7 +12,8 @@
 namespace geraniumbay::dispatch {
 namespace {
 
-constexpr Duration CallTimeout = std::chrono::milliseconds(500);
+/// A pool decides at once; another one is asked if it does not answer.
+constexpr Duration AcquireTimeout = std::chrono::milliseconds(150);
 constexpr Duration RenewEvery = std::chrono::seconds(1);
 /// When to come back after an owner was lost.
 constexpr Duration LostRetry = std::chrono::seconds(1);
@@ -120,7 +121,7 @@
     Message.Request.TimeLeft =
         std::max<Duration>(Of.Deadline - Clock_.now(), Duration(1));
   Client_.call(
-      To.Address, "pool.acquire", writeAcquire(Message), CallTimeout,
+      To.Address, "pool.acquire", writeAcquire(Message), AcquireTimeout,
       guarded([this, Id, Owner = To.Owner](const Outcome<Json::Value> &Reply) {
         acquireAnswered(Id, Owner, Reply);
       }));
