--- a/src/app/internal/standincommand.cpp
+++ b/src/app/internal/standincommand.cpp
@@ -80,8 +80,7 @@
   return Faults;
 }
 
-/// The flags as they stand now.
-RetVal<standin::StandInSettings> readFlags() {
+RetVal<standin::StandInSettings> readSettings(const IClock &Clock) {
   standin::StandInSettings Settings;
   BOOST_LEAF_ASSIGN(Settings.Entries, readEndpoints(FLAGS_entries));
   BOOST_LEAF_ASSIGN(Settings.Offer.Address, parseEndpoint(FLAGS_listen));
@@ -91,17 +90,13 @@
   Settings.Offer.Service = ServiceId(FLAGS_service);
   Settings.Offer.Slots = FLAGS_slots;
   Settings.Offer.Connections = FLAGS_connections;
+  Settings.Offer.Version.Incarnation =
+      Incarnation(static_cast<std::uint64_t>(Clock.wallNow()));
   Settings.MeanRun = milliseconds(FLAGS_mean_run_ms);
   Settings.Faults = readFaults();
   return Settings;
 }
 
-/// What the flags say.
-struct StandInFlags {
-  standin::StandInSettings Settings;
-  std::uint64_t Seed = 1;
-};
-
 /// Turns the loop until the stand-in has left and its tasks have ended.
 void leave(EventLoop &Loop, const IClock &Clock, standin::StandIn &Upstream) {
   Upstream.leave();
@@ -113,25 +108,23 @@
   Loop.turn(milliseconds(50));
 }
 
-int runStandIn(const Outcome<StandInFlags> &Given, std::ostream &Err) {
+int runStandIn(const cli::Options & /*Given*/, cli::Dependencies & /*Deps*/,
+               std::ostream & /*Out*/, std::ostream &Err) {
   startLogging(LogLevel::Info, "");
   SystemClock Clock;
   EventLoop Loop(Clock);
   HttpServer Server(Loop, HttpServerLimits());
   HttpClient Client(Loop, HttpClientLimits());
   auto Settings = attempt([&]() -> RetVal<standin::StandInSettings> {
-    if (!Given.ok())
-      return fail(Given.error());
-    BOOST_LEAF_CHECK(Server.listen(Given->Settings.Offer.Address));
-    return Given->Settings;
+    BOOST_LEAF_AUTO(Read, readSettings(Clock));
+    BOOST_LEAF_CHECK(Server.listen(Read.Offer.Address));
+    return Read;
   });
   if (!Settings.ok()) {
     Err << "cannot start: " << Settings.error().Message << "\n";
     return toInt(cli::ExitCode::Failure);
   }
-  Settings->Offer.Version.Incarnation =
-      Incarnation(static_cast<std::uint64_t>(Clock.wallNow()));
-  standin::StandIn Upstream(Server, Client, Loop.timers(), Random(Given->Seed),
+  standin::StandIn Upstream(Server, Client, Loop.timers(), Random(FLAGS_seed),
                             *Settings);
   Loop.onSignal(SIGTERM, [&] { Loop.stop(); });
   Upstream.start();
@@ -143,16 +136,6 @@
 } // namespace
 
 cli::Command standInCommand() {
-  auto Given = std::make_shared<Outcome<StandInFlags>>(
-      Error{ErrorCode::Internal, "flags were not read"});
-  auto Read = [Given] {
-    *Given = attempt([]() -> RetVal<StandInFlags> {
-      BOOST_LEAF_AUTO(Settings, readFlags());
-      return StandInFlags{Settings, FLAGS_seed};
-    });
-  };
-  auto Run = [Given](const cli::Options &, cli::Dependencies &, std::ostream &,
-                     std::ostream &Err) { return runStandIn(*Given, Err); };
   return {"standin",
           "",
           "Run a stand-in upstream for tests.",
@@ -163,8 +146,7 @@
            "ignore_cancel", "straggle_one_in", "answer_late_ms", "leave_after"},
           0,
           0,
-          Run,
-          Read};
+          runStandIn};
 }
 
 } // namespace geraniumbay::app
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -41,8 +41,6 @@
   std::size_t MinFiles = 0;
   std::size_t MaxFiles = 0;
   RunFunction Run;
-  /// Reads flags that have no place in Options, before Run; may be empty.
-  std::function<void()> ReadOwnFlags = {};
 };
 
 } // namespace geraniumbay::cli
--- a/src/cli/internal/flags.cpp
+++ b/src/cli/internal/flags.cpp
@@ -214,10 +214,7 @@
 
 RetVal<CommandLine> readCommandLine(const Command &Chosen,
                                     const std::vector<std::string> &Arguments) {
-  BOOST_LEAF_AUTO(Line, ArgumentReader(Chosen, Arguments).read());
-  if (Chosen.ReadOwnFlags)
-    Chosen.ReadOwnFlags();
-  return Line;
+  return ArgumentReader(Chosen, Arguments).read();
 }
 
 std::string describeFlag(const std::string &Name) {
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -83,6 +83,7 @@
     """All processes of one deployment."""
 
     def __init__(self, deployment="reclamos", workers=6, service="triage"):
+        build = os.environ.get("BUILD_DIR", "build")
         build = os.environ.get("BUILD_DIR", "build")
         self.binary = os.path.join(ROOT, build, "src", "app", "geraniumbay")
         self.folder = tempfile.mkdtemp(prefix="geraniumbay-")
@@ -237,6 +238,23 @@
         body.update({"request": request, "payload": payload})
         return call(self.callers[vm], "POST", "/v1/tasks", body)
 
+    # What operators see.
+
+    def status(self, vm):
+        """What one process says of itself, or nothing."""
+        request = {"jsonrpc": "2.0", "id": 1, "method": "admin.status", "params": {}}
+        answer = call(self.admins[vm], "POST", "/rpc", request, timeout=2)
+        return answer.body["result"] if answer.status == 200 else None
+
+    def slots(self, centre):
+        """Slots that the entries of a data centre own now."""
+        total = 0
+        for vm in self.entries():
+            if self.data_centres[vm] == centre and vm in self.processes:
+                state = self.status(vm)
+                total += sum(pool["slots"] for pool in state["pools"]) if state else 0
+        return total
+
     def starts(self):
         """How often each task was started, over all workers that run."""
         total = {}
