--- a/src/ledger/tests/cluster.cpp
+++ b/src/ledger/tests/cluster.cpp
@@ -112,6 +112,7 @@
   Cuts_.clear();
   WithoutControl.clear();
   WithoutViews.clear();
+  StalledDisks.clear();
   for (std::size_t Number = 0; Number < size(); ++Number) {
     thaw(Number);
     at(Number).Disk.setSyncsFail(false);
@@ -136,7 +137,7 @@
       TestProcess &Process = at(Number);
       if (Process.Frozen)
         continue;
-      if (happens(70))
+      if (happens(70) && !StalledDisks.contains(Number))
         Process.Disk.completeSyncs();
       Process.Timers->runDue();
     }
--- a/src/ledger/tests/cluster.h
+++ b/src/ledger/tests/cluster.h
@@ -100,6 +100,8 @@
   std::set<std::size_t> WithoutControl;
   /// Processes whose proposals arrive but that hear nothing of control.
   std::set<std::size_t> WithoutViews;
+  /// Processes whose syncs do not complete.
+  std::set<std::size_t> StalledDisks;
   /// Chances in percent.
   std::uint64_t Loss = 0;
   std::uint64_t Repeats = 0;
--- a/src/ledger/tests/replicationtest.cpp
+++ b/src/ledger/tests/replicationtest.cpp
@@ -85,6 +85,45 @@
   EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Granted);
 }
 
+TEST_F(ReplicationTest, AnEntryGetsTheSameSubmissionOnlyOnce) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  auto Again = System.claim(2, Id);
+  ASSERT_FALSE(Again.ok());
+  EXPECT_EQ(Again.error().Code, ErrorCode::Conflict);
+}
+
+TEST_F(ReplicationTest, AMemberWhoseSyncFailsCountsNoMore) {
+  System.WithoutControl = {First, Second};
+  System.at(Second).Disk.setSyncsFail(true);
+  EXPECT_FALSE(System.claim(2, System.issue(1)).ok());
+  EXPECT_FALSE(System.claim(2, System.issue(2)).ok());
+  System.healAll();
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(state(System.claim(2, System.issue(3))), ClaimState::Granted);
+}
+
+TEST_F(ReplicationTest, ARecordThatAMemberHasNotSyncedIsNotCommitted) {
+  System.WithoutControl = {First, Second};
+  System.StalledDisks = {Second};
+  EXPECT_FALSE(System.claim(2, System.issue(1)).ok());
+}
+
+TEST_F(ReplicationTest, AMemberIsAddedOnlyWithWhatEarlierRunsCommitted) {
+  EXPECT_EQ(state(System.claim(2, System.issue(1))), ClaimState::Granted);
+  System.crash(Second);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(1); }));
+  System.at(Second).Disk.wipe();
+  // The restarted primary does not know yet what it has committed before.
+  System.StalledDisks = {First, Second};
+  restart(First);
+  System.start(Second);
+  System.run(seconds(5));
+  EXPECT_EQ(System.View.Members.size(), 1U);
+  System.healAll();
+  EXPECT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+}
+
 TEST_F(ReplicationTest, AClaimWhoseReplyGotLostIsReleased) {
   std::string Id = System.issue(1);
   std::optional<Outcome<ClaimReply>> Lost;
@@ -114,6 +153,31 @@
   EXPECT_EQ(state(System.claim(3, Id.value())), ClaimState::Granted);
 }
 
+TEST_F(ReplicationTest, AMemberTakesOnlyMessagesOfItsViewPrimaryAndDisk) {
+  ReplicateRequest Good;
+  Good.Header = {DataCentreId("dc"), System.View.Number, 1, System.vm(First),
+                 System.View.memberOn(System.vm(Second))->Disk};
+  auto StateOf = [&](const ReplicateRequest &Request) {
+    auto Reply = raw(First, method::Replicate, toJson(Request), Second);
+    return attempt([&] { return replyFromJson(*Reply); })->State;
+  };
+  EXPECT_EQ(StateOf(Good), PeerState::Misplaced);
+  ReplicateRequest Bad = Good;
+  Bad.Header.View = ViewNumber(Good.Header.View.value() - 1);
+  EXPECT_EQ(StateOf(Bad), PeerState::StaleView);
+  Bad.Header.View = ViewNumber(Good.Header.View.value() + 1);
+  EXPECT_EQ(StateOf(Bad), PeerState::UnknownView);
+  Bad = Good;
+  Bad.Header.From = VmId("other");
+  EXPECT_EQ(StateOf(Bad), PeerState::StaleView);
+  Bad = Good;
+  Bad.Header.Run = 0;
+  EXPECT_EQ(StateOf(Bad), PeerState::StaleView);
+  Bad = Good;
+  Bad.Header.To = DiskId(1);
+  EXPECT_EQ(StateOf(Bad), PeerState::OtherDisk);
+}
+
 TEST_F(ReplicationTest, ACopyThatComesLateUndoesNothing) {
   std::string Id = System.issue(1);
   EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
@@ -162,6 +226,8 @@
   EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
   System.freeze(First);
   System.run(seconds(30));
+  // The claim is the first that it hears of the entries.
+  System.at(First).Backlog.clear();
   System.thaw(First);
   EXPECT_EQ(state(System.claim(3, Id, "d", seconds(1))), ClaimState::Held);
 }
