Read no document that control would not store

The readers took 4 MiB, control stores at most 2 MiB: a document between the two passed check and failed at apply.

--- a/src/inventory/document.h
+++ b/src/inventory/document.h
@@ -32,8 +32,8 @@
   std::string Text;
 };
 
-/// The longest document that is read.
-constexpr std::size_t MaxDocumentBytes = 4U << 20U;
+/// The longest document that is read; control stores no longer one.
+constexpr std::size_t MaxDocumentBytes = 2U << 20U;
 
 /// Reads \p Text, reporting problems under \p File.
 Checked<Document> parseDocument(std::string_view Text, const std::string &File);
