Show that a new member must have what earlier runs committed

AMemberIsAddedOnlyWithWhatEarlierRunsCommitted passed without the mechanism, since the member that was added too early was removed again before the test looked.

It now watches all the time.

--- a/src/ledger/tests/replicationtest.cpp
+++ b/src/ledger/tests/replicationtest.cpp
@@ -118,8 +118,8 @@
   System.StalledDisks = {First, Second};
   restart(First);
   System.start(Second);
-  System.run(seconds(5));
-  EXPECT_EQ(System.View.Members.size(), 1U);
+  EXPECT_FALSE(System.runUntil([&] { return System.View.Members.size() == 2; },
+                               seconds(5)));
   System.healAll();
   EXPECT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
 }
