Count answers and tasks, and trace each hop of a submission

Cause: operators could see neither of the two measures nor where time went. What: answers by reason and response time, tasks by how they ended and wasted messages by cause in Prometheus's form; a span for the request and one for the claim, each task and the record inside it; the worker gets the task's traceparent. Ruled out: carrying the trace to the ledger's and the pool's processes: the messages between processes have no place for it yet; their hops are seen from the entry's side only. Measured: entry tests pass (a new one reads the counters and the header).

--- a/src/entry/entrysetup.cpp
+++ b/src/entry/entrysetup.cpp
@@ -54,6 +54,8 @@
       Services.get<IRpcServer>(kernel::RpcServer),
       Services.get<IRpcClient>(kernel::RpcClient),
       Numbers,
+      Services.get<Metrics>(kernel::Metrics),
+      Services.get<Tracer>(kernel::Tracer),
       Self,
       [&Ledger, &Numbers, Local] {
         return issueLocalKey(Ledger, Local, Numbers);
--- a/src/entry/internal/callerapi.cpp
+++ b/src/entry/internal/callerapi.cpp
@@ -6,6 +6,7 @@
 
 #include "entry/internal/callerapi.h"
 
+#include "entry/internal/entrymetrics.h"
 #include "framework/json/json.h"
 #include "ledger/submissionkey.h"
 
@@ -70,9 +71,11 @@
 
 CallerApi::CallerApi(IHttpServer &Http, Coordinator &Submissions,
                      CancelRelay &Cancels, const IClock &Clock,
-                     const EntryConfig &Config, KeySource Keys)
+                     const EntryConfig &Config, KeySource Keys,
+                     Metrics &Measured, Tracer &Spans)
     : Submissions_(Submissions), Cancels_(Cancels), Clock_(Clock),
-      Config_(Config), Keys_(std::move(Keys)) {
+      Config_(Config), Keys_(std::move(Keys)), Measured_(Measured),
+      Spans_(Spans) {
   using Exchange = std::shared_ptr<IHttpExchange>;
   Http.route("POST", JobPath,
              [this](const Exchange &Ex) { submit(Ex, false); });
@@ -94,28 +97,32 @@
   Raw.Body = Exchange->request().Body;
   Raw.Key = headerOr(Exchange->request(), KeyHeader);
   Raw.SingleTask = SingleTask;
-  // What the caller calls its submission; the internal id is not shown.
-  SubmissionId Shown(Raw.Key);
-  if (Draining_) {
-    sendResult(*Exchange, Shown,
-               notRun(FailureReason::Draining, "this entry is stopping",
-                      DrainingRetry));
-    return;
-  }
+  const char *Kind = SingleTask ? "task" : "job";
+  Span Root = Spans_.beginServer(
+      Kind, headerOr(Exchange->request(), TraceParentHeader));
+  // The caller knows its submission by the key that it sent.
+  auto Answer = [this, Exchange, Kind, Root,
+                 Shown = SubmissionId(Raw.Key)](const Result &Given) {
+    noteAnswer(Measured_, Kind, Given, Clock_.now() - Root.Start);
+    endRoot(Root, Given);
+    sendResult(*Exchange, Shown, Given);
+  };
+  if (Draining_)
+    return Answer(notRun(FailureReason::Draining, "this entry is stopping",
+                         DrainingRetry));
   Admission Admitted = admit(Raw, Config_, Keys_.Private(), Clock_.now());
-  if (const auto *Failure = std::get_if<Result>(&Admitted)) {
-    sendResult(*Exchange, Shown, *Failure);
-    return;
-  }
+  if (const auto *Failure = std::get_if<Result>(&Admitted))
+    return Answer(*Failure);
   WaiterHandle Who =
-      Submissions_.submit(std::get<Submission>(Admitted),
-                          headerOr(Exchange->request(), TraceParentHeader),
-                          [Exchange, Shown](const Result &Answer) {
-                            sendResult(*Exchange, Shown, Answer);
-                          });
+      Submissions_.submit(std::get<Submission>(Admitted), Root, Answer);
   Exchange->onGone([this, Who] { Submissions_.abandon(Who); });
 }
 
+void CallerApi::endRoot(Span Root, const Result &Given) {
+  Root.Tags["reason"] = failureReasonName(Given.Reason);
+  Spans_.end(Root);
+}
+
 void CallerApi::issueKey(IHttpExchange &Exchange) {
   Outcome<SubmissionId> Key = Keys_.Issue();
   if (!Key.ok()) {
--- a/src/entry/internal/callerapi.h
+++ b/src/entry/internal/callerapi.h
@@ -26,9 +26,11 @@
 /// Answers callers.
 class CallerApi {
 public:
-  /// All arguments but \p Keys outlive the object.
+  /// All arguments but \p Keys outlive the object. Spans of requests are begun
+  /// by \p Spans, answers counted by \p Measured.
   CallerApi(IHttpServer &Http, Coordinator &Submissions, CancelRelay &Cancels,
-            const IClock &Clock, const EntryConfig &Config, KeySource Keys);
+            const IClock &Clock, const EntryConfig &Config, KeySource Keys,
+            Metrics &Measured, Tracer &Spans);
 
   /// From now on new submissions are answered "not run: draining", and the
   /// balancer's check fails.
@@ -36,6 +38,8 @@
 
 private:
   void submit(const std::shared_ptr<IHttpExchange> &Exchange, bool SingleTask);
+  /// Ends the span of a request that was answered with \p Given.
+  void endRoot(Span Root, const Result &Given);
   void issueKey(IHttpExchange &Exchange);
   void cancelJob(const std::shared_ptr<IHttpExchange> &Exchange);
   void checkReady(IHttpExchange &Exchange);
@@ -45,6 +49,8 @@
   const IClock &Clock_;
   const EntryConfig &Config_;
   const KeySource Keys_;
+  Metrics &Measured_;
+  Tracer &Spans_;
   bool Draining_ = false;
 };
 
--- a/src/entry/internal/coordinator.cpp
+++ b/src/entry/internal/coordinator.cpp
@@ -8,8 +8,8 @@
 
 namespace geraniumbay::entry {
 
-WaiterHandle Coordinator::submit(const Submission &Request,
-                                 const std::string &TraceParent, Waiter Done) {
+WaiterHandle Coordinator::submit(const Submission &Request, const Span &Root,
+                                 Waiter Done) {
   WaiterHandle Who{Request.Id, ++LastWaiter_};
   auto Found = Active_.find(Request.Id);
   if (Found != Active_.end()) {
@@ -27,7 +27,7 @@
       Services_,
       [this, Id = Request.Id](const Result &Answer) { finished(Id, Answer); });
   std::shared_ptr<Runner> Running = Fresh.Running;
-  Running->start(Request, TraceParent);
+  Running->start(Request, Root);
   return Who;
 }
 
--- a/src/entry/internal/coordinator.h
+++ b/src/entry/internal/coordinator.h
@@ -31,8 +31,7 @@
 
   /// Runs \p Request and calls \p Done with its answer, once. Never calls it
   /// before it returns.
-  WaiterHandle submit(const Submission &Request, const std::string &TraceParent,
-                      Waiter Done);
+  WaiterHandle submit(const Submission &Request, const Span &Root, Waiter Done);
   /// The caller behind \p Who does not wait any more.
   void abandon(const WaiterHandle &Who);
   /// Cancels a submission that runs here; returns false if none does.
--- a/src/entry/internal/entryservice.cpp
+++ b/src/entry/internal/entryservice.cpp
@@ -14,11 +14,13 @@
     : Numbers_(Needs.Numbers), Self_(Needs.Self), Workers_(Needs.Http),
       Submissions_(RunnerServices{
           Needs.Clock, Needs.Timers, Needs.Pools, Needs.Claims, Workers_,
-          [this] { return dispatch::RequestId(freshId()); }, Extra_}),
+          [this] { return dispatch::RequestId(freshId()); }, Extra_,
+          Needs.Measured, Needs.Spans}),
       Cancels_(Submissions_, Needs.Members, Needs.Server, Needs.Client),
-      Api_(Needs.Callers, Submissions_, Cancels_, Needs.Clock, Config_,
-           KeySource{Needs.IssueKey,
-                     [this] { return SubmissionId(freshId()); }}) {}
+      Api_(
+          Needs.Callers, Submissions_, Cancels_, Needs.Clock, Config_,
+          KeySource{Needs.IssueKey, [this] { return SubmissionId(freshId()); }},
+          Needs.Measured, Needs.Spans) {}
 
 void EntryService::setConfig(EntryConfig Config) {
   if (Config.Version <= Config_.Version)
--- a/src/entry/internal/entryservice.h
+++ b/src/entry/internal/entryservice.h
@@ -25,6 +25,8 @@
   IRpcServer &Server;
   IRpcClient &Client;
   Random &Numbers;
+  Metrics &Measured;
+  Tracer &Spans;
   /// This VM's name, the first part of the ids that it makes up.
   VmId Self;
   /// Issues ids of submissions that are claimed at the local data centre.
--- a/src/entry/internal/runner.cpp
+++ b/src/entry/internal/runner.cpp
@@ -7,6 +7,7 @@
 #include "entry/internal/runner.h"
 
 #include "entry/internal/digest.h"
+#include "entry/internal/entrymetrics.h"
 
 namespace geraniumbay::entry {
 
@@ -17,8 +18,8 @@
 
 } // namespace
 
-void Runner::start(Submission Request, std::string TraceParent) {
-  TraceParent_ = std::move(TraceParent);
+void Runner::start(Submission Request, Span Root) {
+  Root_ = std::move(Root);
   TaskPrefix_ = taskPrefix(Request);
   Deadline_ = Services_.Timers.after(
       Request.Deadline - Services_.Clock.now(),
@@ -51,7 +52,10 @@
 
 void Runner::act(const ClaimAction & /*Action*/) {
   Services_.Claims.claim(
-      request(), [Self = shared_from_this()](const ClaimEvent &Event) {
+      request(), [Self = shared_from_this(),
+                  Hop = Services_.Spans.beginChild(Root_, "ledger.claim")](
+                     const ClaimEvent &Event) {
+        Self->Services_.Spans.end(Hop);
         Self->perform(onClaim(std::get<Job>(Self->State_), Event));
       });
 }
@@ -90,12 +94,16 @@
 
 void Runner::act(const StartAction &Action) {
   Time Begun = Services_.Clock.now();
+  Span Hop = Services_.Spans.beginChild(Root_, "worker.task");
+  Hop.Tags["worker"] = Action.Held.Worker.value();
+  std::string TraceParent = formatTraceParent(Hop.Context);
   Services_.Workers.run(
       workerTaskId(Action.Task), Action.Held.Address,
       request().Payloads[request().Repeatable ? 0 : Action.Task.value()],
-      TraceParent_, std::max(timeLeft(), Duration(1)),
-      [Self = shared_from_this(), Task = Action.Task,
-       Begun](TaskReport Report) {
+      TraceParent, std::max(timeLeft(), Duration(1)),
+      [Self = shared_from_this(), Task = Action.Task, Begun,
+       Hop](TaskReport Report) {
+        Self->Services_.Spans.end(Hop);
         Duration Ran = Self->Services_.Clock.now() - Begun;
         Self->taskEnded({Task, Report.End, std::move(Report.Text), Ran});
       });
@@ -103,6 +111,7 @@
 }
 
 void Runner::act(const StopAction &Action) {
+  noteWasted(Services_.Measured, "stopped");
   // The slot is in use until the worker has stopped the task.
   Services_.Workers.stop(workerTaskId(Action.Task), Action.Held.Address,
                          [Self = shared_from_this(), Held = Action.Held] {
@@ -119,7 +128,10 @@
 void Runner::act(const RecordAction &Action) {
   Services_.Claims.record(
       request(), Action.Answer, request().Deadline + RecordGrace,
-      [Self = shared_from_this()](const std::optional<Result> &Recorded) {
+      [Self = shared_from_this(),
+       Hop = Services_.Spans.beginChild(Root_, "ledger.record")](
+          const std::optional<Result> &Recorded) {
+        Self->Services_.Spans.end(Hop);
         auto &Running = std::get<Job>(Self->State_);
         Self->perform(Recorded ? onRecorded(Running, *Recorded)
                                : onRecordFailed(Running));
@@ -149,6 +161,7 @@
 }
 
 void Runner::taskEnded(const TaskEvent &Event) {
+  noteTaskEnd(Services_.Measured, Event.End);
   if (Event.End == TaskEnd::Succeeded)
     noteRun(Services_.Extra, request(), Event.Ran, Services_.Clock.now());
   if (auto *Running = std::get_if<Job>(&State_))
--- a/src/entry/internal/runner.h
+++ b/src/entry/internal/runner.h
@@ -14,6 +14,8 @@
 #include "entry/internal/single.h"
 #include "entry/internal/upstream.h"
 #include "framework/clock/itimers.h"
+#include "framework/metrics/metrics.h"
+#include "framework/trace/tracer.h"
 
 #include <memory>
 #include <set>
@@ -31,6 +33,8 @@
   std::function<dispatch::RequestId()> NewRequestId;
   /// The budget of retries and hedges of the entry.
   ExtraMessages &Extra;
+  Metrics &Measured;
+  Tracer &Spans;
 };
 
 /// Carries out one submission. Keeps itself alive until its last callback.
@@ -41,8 +45,8 @@
   Runner(const RunnerServices &Services, ReplyCallback OnReply)
       : Services_(Services), OnReply_(std::move(OnReply)) {}
 
-  /// Begins; the reply comes later, once. \p TraceParent is sent to workers.
-  void start(Submission Request, std::string TraceParent);
+  /// Begins; the reply comes later, once. Its hops are spans inside \p Root.
+  void start(Submission Request, Span Root);
   /// The caller cancels the submission.
   void cancel();
   /// Nobody waits for the answer any more.
@@ -76,7 +80,7 @@
   const RunnerServices &Services_;
   ReplyCallback OnReply_;
   State State_;
-  std::string TraceParent_;
+  Span Root_;
   /// First part of the ids of the tasks at workers.
   std::string TaskPrefix_;
   /// Requests for slots that may still bring leases.
--- a/src/entry/tests/entrytest.cpp
+++ b/src/entry/tests/entrytest.cpp
@@ -85,15 +85,18 @@
   ManualClock Clock;
   TimerQueue Timers{Clock};
   Random Numbers{1};
+  Metrics Measured;
+  Tracer Spans{Clock, Numbers, {}};
   FakeServer Server;
   FakeWorkers Workers;
   FakePools Pools;
   FakeClaims Claims;
   LoneMembership Members;
   NoRpc Rpc;
-  EntryService Entry{EntryNeeds{
-      Clock, Timers, Server, Workers, Pools, Claims, Members, Rpc, Rpc, Numbers,
-      VmId("e1"), [] { return SubmissionId("barracas.1.0000000000000001"); }}};
+  EntryService Entry{
+      EntryNeeds{Clock, Timers, Server, Workers, Pools, Claims, Members, Rpc,
+                 Rpc, Numbers, Measured, Spans, VmId("e1"),
+                 [] { return SubmissionId("barracas.1.0000000000000001"); }}};
 };
 
 TEST(EntryTest, AJobRunsFromStartToFinish) {
@@ -110,6 +113,22 @@
   EXPECT_EQ(W.body(Ex)["answers"][1].asString(), "done:b");
 }
 
+TEST(EntryTest, CountsAnswersAndJoinsTheCallersTrace) {
+  World W;
+  W.task(Task);
+  W.Pools.grantAll(0);
+  const HttpRequest &Sent = W.Workers.Open.begin()->second.Request;
+  EXPECT_TRUE(
+      parseTraceParent(*findHeader(Sent.Headers, "traceparent")).has_value());
+  W.Workers.answerAll();
+  std::string Text = W.Measured.text();
+  EXPECT_NE(Text.find("geraniumbay_answers_total{kind=\"task\","
+                      "reason=\"none\"} 1"),
+            std::string::npos);
+  EXPECT_NE(Text.find("geraniumbay_tasks_total{end=\"succeeded\"} 1"),
+            std::string::npos);
+}
+
 TEST(EntryTest, AResubmissionJoinsTheRunningJob) {
   World W;
   auto First = W.job(Job, "key-1");
