Keep more of the queue for those who come back (v8)

The test of Retry-After sets the part that its bounds were written for. Without the rule PoolTest.ThoseWhoComeBackAreTakenWhereNewOnesAreNot fails.

--- a/src/dispatch/internal/admission.cpp
+++ b/src/dispatch/internal/admission.cpp
@@ -14,10 +14,6 @@
 namespace geraniumbay::dispatch {
 namespace {
 
-/// Part of the longest wait up to which new requests are accepted; the rest is
-/// kept for those who come back when they were told to.
-constexpr double NewcomersPart = 0.6;
-
 /// When to look for workers again.
 constexpr Duration NoWorkersRetry = std::chrono::seconds(1);
 
@@ -83,7 +79,7 @@
 Duration longestWait(const PoolPolicy &Policy, const PoolRequest &Request) {
   Duration Longest = Request.Class == WorkClass::Urgent ? Policy.MaxUrgentWait
                                                         : Policy.MaxRoutineWait;
-  return Request.Returning ? Longest : scaled(Longest, NewcomersPart);
+  return Request.Returning ? Longest : scaled(Longest, Policy.NewcomersPart);
 }
 
 } // namespace
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -38,6 +38,9 @@
   /// Longest expected wait in the queue that a new request is accepted with.
   Duration MaxUrgentWait = std::chrono::milliseconds(500);
   Duration MaxRoutineWait = std::chrono::seconds(2);
+  /// Part of the longest wait up to which new requests are accepted, in (0, 1];
+  /// the rest is kept for those who come back when they were told to.
+  double NewcomersPart = 0.3;
   /// Most tasks that wait in the queue of one service.
   std::uint32_t MaxQueuedTasks = 20000;
   /// Bounds of RetryAfter.
--- a/src/dispatch/tests/pooltest.cpp
+++ b/src/dispatch/tests/pooltest.cpp
@@ -169,7 +169,9 @@
 }
 
 TEST(PoolTest, AFullQueueShedsAtOnceAndSaysWhenToComeBack) {
-  PoolFixture Fixture;
+  PoolPolicy Policy;
+  Policy.NewcomersPart = 0.6;
+  PoolFixture Fixture(Policy);
   Fixture.addWorkers(1);
   std::optional<Rejection> Why;
   int Accepted = 0;
@@ -183,6 +185,18 @@
   EXPECT_GT(Next->RetryAfter, Why->RetryAfter);
 }
 
+TEST(PoolTest, ThoseWhoComeBackAreTakenWhereNewOnesAreNot) {
+  PoolFixture Fixture;
+  Fixture.addWorkers(1);
+  int Accepted = 0;
+  while (!Fixture.ask(request("r" + std::to_string(Accepted++), 8)))
+    ;
+  PoolRequest Back = request("back", 8);
+  EXPECT_TRUE(Fixture.ask(Back).has_value());
+  Back.Returning = true;
+  EXPECT_FALSE(Fixture.ask(Back).has_value());
+}
+
 TEST(PoolTest, AFullQueueOfOneTeamDoesNotShedAnother) {
   PoolFixture Fixture;
   Fixture.addWorkers(1);
--- a/src/model/policies.cpp
+++ b/src/model/policies.cpp
@@ -31,6 +31,7 @@
   Policy Result;
   Result.Name = "v1";
   Result.Pool.SizeRank = 0;
+  Result.Pool.NewcomersPart = 0.6;
   Result.Pool.SlowLast = false;
   Result.Pool.ProofAfterFailure = false;
   Result.Pool.RankByRemaining = false;
@@ -89,12 +90,20 @@
   return Result;
 }
 
+/// More of the queue is kept for those who come back.
+Policy version8() {
+  Policy Result = version7();
+  Result.Name = "v8";
+  Result.Pool.NewcomersPart = 0.3;
+  return Result;
+}
+
 } // namespace
 
 const std::vector<Policy> &policies() {
-  static const std::vector<Policy> All = {naive(),    central(),  version1(),
-                                          version2(), version3(), version4(),
-                                          version5(), version6(), version7()};
+  static const std::vector<Policy> All = {
+      naive(),    central(),  version1(), version2(), version3(),
+      version4(), version5(), version6(), version7(), version8()};
   return All;
 }
 
