Never release or repeat a claim that is still under way

Causes, each found by a test that failed first: 1. A double start. The ledger's client keeps trying a claim until its deadline, also when it is released meanwhile. A job that was shed while its claim was lost on the way, and that came again at the same entry, was claimed and started; when the first claim ended with a timeout, the client released the submission with its latest attempt, and so the running job's claim. Another entry was then granted it: OutlivesTheEndOfAnEarlierClaimThatWasLost saw 6 starts of 3 tasks. 2. A claim held for ever. A retry of the released claim, or a claim that was sent after a cancel in the same turn of the loop, has a later attempt than the release, so it was granted and nobody gave it back: the job could not run until its entry restarted (RunsElsewhereAfterAClaimThatWasLostAndShed and RunsAfterACancelThatCameBeforeTheClaimWasSent). 3. A release of a job that ran. A resubmission that was cancelled at once, after "answer_not_recorded", released the claim under the answer that was still being recorded (CancelledAtOnceNeverReleasesTheJobThatRan). 4. A false "ran: no". A resubmission at the entry that holds the job, after "answer_not_recorded", was told ledger_unavailable and not run.

LedgerClaims now waits for the end of a claim before it releases it, gives a grant back that nobody wants any more, makes no second claim of a submission meanwhile, and tells "maybe, ask again" for a conflict. Ruled out: giving a late grant back in the job itself, since that release would also cover the claim of a newer run.

--- a/src/entry/internal/ledgerclaims.cpp
+++ b/src/entry/internal/ledgerclaims.cpp
@@ -25,6 +25,13 @@
 
 ClaimEvent refused(Result Answer) { return ClaimRefused{std::move(Answer)}; }
 
+/// The submission is in somebody's hands, who may have started it.
+ClaimEvent heldBy(const char *Detail) {
+  Result Held = mayHaveRun(FailureReason::HeldElsewhere, Detail);
+  Held.RetryAfter = ComeBack;
+  return refused(std::move(Held));
+}
+
 ClaimEvent readReply(const ledger::ClaimReply &Reply) {
   switch (Reply.State) {
   case ledger::ClaimState::Granted:
@@ -41,10 +48,7 @@
                           "the id is from before a loss of the ledger; it "
                           "will not be run"));
   }
-  Result Held = mayHaveRun(FailureReason::HeldElsewhere,
-                           "another entry runs it; ask again");
-  Held.RetryAfter = ComeBack;
-  return refused(std::move(Held));
+  return heldBy("another entry runs it; ask again");
 }
 
 } // namespace
@@ -52,6 +56,10 @@
 ClaimEvent readClaimOutcome(const Outcome<ledger::ClaimReply> &Reply) {
   if (Reply.ok())
     return readReply(*Reply);
+  // An earlier claim of this entry is in the way, for instance of a job whose
+  // answer is not recorded yet.
+  if (Reply.error().Code == ErrorCode::Conflict)
+    return heldBy("an earlier submission is not over; ask again");
   // Whatever became of the claim, this entry starts nothing of it, and the
   // ledger's client releases what may have been claimed.
   return refused(notRun(FailureReason::LedgerUnavailable, Reply.error().Message,
@@ -70,13 +78,29 @@
 }
 
 void LedgerClaims::claim(const Submission &Request, ClaimCallback Done) {
+  if (!Pending_.emplace(Request.Id, Pending{}).second) {
+    Timers_.after(Duration::zero(), [Done = std::move(Done)] {
+      Done(heldBy("an earlier claim of it is under way; ask again"));
+    });
+    return;
+  }
   Ledger_.claim(
       Request.Home, Request.Id, Request.Digest, Request.Deadline,
-      [Done = std::move(Done)](const Outcome<ledger::ClaimReply> &Reply) {
+      [this, Home = Request.Home, Id = Request.Id,
+       Done = std::move(Done)](const Outcome<ledger::ClaimReply> &Reply) {
+        claimed(Home, Id, Reply);
         Done(readClaimOutcome(Reply));
       });
 }
 
+void LedgerClaims::claimed(const DataCentreId &Home, const SubmissionId &Id,
+                           const Outcome<ledger::ClaimReply> &Reply) {
+  bool Unwanted = Pending_[Id].Released;
+  Pending_.erase(Id);
+  if (Unwanted && Reply.ok() && Reply->State == ledger::ClaimState::Granted)
+    giveBack(Home, Id);
+}
+
 void LedgerClaims::record(const Submission &Request, const Result &Answer,
                           Time GiveUpAt, RecordCallback Done) {
   // The first of the two to come, the ledger's answer or the time to give up,
@@ -100,7 +124,15 @@
 }
 
 void LedgerClaims::release(const Submission &Request) {
-  Ledger_.release(Request.Home, Request.Id, Clock_.now() + ReleaseTime,
+  auto Found = Pending_.find(Request.Id);
+  if (Found != Pending_.end())
+    Found->second.Released = true;
+  else
+    giveBack(Request.Home, Request.Id);
+}
+
+void LedgerClaims::giveBack(const DataCentreId &Home, const SubmissionId &Id) {
+  Ledger_.release(Home, Id, Clock_.now() + ReleaseTime,
                   [](const Outcome<geraniumbay::Done> &) {});
 }
 
--- a/src/entry/internal/ledgerclaims.h
+++ b/src/entry/internal/ledgerclaims.h
@@ -11,9 +11,13 @@
 #include "framework/clock/itimers.h"
 #include "ledger/iledgerclient.h"
 
+#include <unordered_map>
+
 namespace geraniumbay::entry {
 
-/// IClaims over ILedgerClient.
+/// IClaims over ILedgerClient. The client tries a claim again and again until
+/// its deadline, also when it is released meanwhile. So a release waits for the
+/// end of the claim, and no second claim of the submission is made before.
 class LedgerClaims : public IClaims {
 public:
   LedgerClaims(ledger::ILedgerClient &Ledger, const IClock &Clock,
@@ -26,9 +30,22 @@
   void release(const Submission &Request) override;
 
 private:
+  /// A claim whose outcome is not known yet.
+  struct Pending {
+    /// Nobody wants it any more: if it is granted, it is given back.
+    bool Released = false;
+  };
+
+  void claimed(const DataCentreId &Home, const SubmissionId &Id,
+               const Outcome<ledger::ClaimReply> &Reply);
+  void giveBack(const DataCentreId &Home, const SubmissionId &Id);
+
   ledger::ILedgerClient &Ledger_;
   const IClock &Clock_;
   ITimers &Timers_;
+  // Invariant: holds exactly the submissions whose claim was sent and has not
+  // come back.
+  std::unordered_map<SubmissionId, Pending> Pending_;
 };
 
 /// What the outcome of a claim means for its submission.
