Let control confirm what is in force, and ask neighbours when it is away

Cause: a ledger must know when control last confirmed its view (it refuses callers' own keys after 12 h without), but it was told only of changes, and of the copy on its own disk at a start as if control had just said it. A process that reached no control VM asked nobody. What: control.watch says whether the VM that answers is in touch with a majority; the ledger takes its view on a change or such a confirmation only; config.fetch gives a neighbour what is in force; the first document is proposed by control itself, so the app's own Bootstrap is gone. Conclusion: the guard of own keys now rests on a majority's word.

--- a/src/app/internal/controlrole.cpp
+++ b/src/app/internal/controlrole.cpp
@@ -8,7 +8,6 @@
 
 #include "app/internal/datafolder.h"
 #include "control/controlsetup.h"
-#include "framework/log/log.h"
 #include "inventory/change.h"
 #include "inventory/textfile.h"
 
@@ -17,10 +16,6 @@
 namespace {
 
 constexpr const char *DocumentName = "document";
-constexpr Duration BootstrapRetry = std::chrono::milliseconds(300);
-/// All control VMs propose the same first document under the same operation,
-/// so that it is accepted once.
-const control::OperationId BootstrapOperation("bootstrap");
 
 Ret validateDocument(const std::string &Old, const std::string &New) {
   auto Wanted = inventory::parseDocument(New, DocumentName);
@@ -50,13 +45,28 @@
 /// nothing else before there is an inventory.
 VmId controlVmId(const Endpoint &Address) { return VmId(Address.text()); }
 
+/// Reads the bootstrap documents as one; empty if there are none.
+RetVal<std::string>
+readBootstrapDocument(const inventory::ProcessSettings &Settings) {
+  if (Settings.Control.BootstrapDocuments.empty())
+    return std::string();
+  BOOST_LEAF_AUTO(Sources,
+                  inventory::readSources(Settings.Control.BootstrapDocuments));
+  auto Parsed = inventory::parseDocument(Sources);
+  if (!Parsed)
+    return fail(inventory::problemsAsError(Parsed.problems()));
+  return inventory::joinSources(Sources);
+}
+
 control::ControlOptions
-controlOptions(const inventory::ProcessSettings &Settings, Random &Numbers) {
+controlOptions(const inventory::ProcessSettings &Settings,
+               std::string FirstDocument, Random &Numbers) {
   control::ControlOptions Options;
   Options.Self = controlVmId(Settings.Process.Peer);
   for (const Endpoint &Peer : Settings.Control.Peers)
     Options.ControlVms.push_back({controlVmId(Peer), Peer});
   Options.MayFound = !Settings.Control.BootstrapDocuments.empty();
+  Options.FirstDocument = std::move(FirstDocument);
   Options.Seed = Numbers.bits();
   Options.Validate = validateDocument;
   Options.ExpectedVms = expectedVms;
@@ -71,32 +81,9 @@
       Storage,
       openRoleFolder(Base.Loop, Settings.Process.DataFolder, "control"));
   Services.add<IStorage>(control::service_name::ControlStorage, Storage);
-  return control::setUpControlVm(Services,
-                                 controlOptions(Settings, Base.Numbers));
-}
-
-void Bootstrap::run() {
-  if (Document_.empty() || Source_.current().Version.value() > 0)
-    return;
-  Control_.propose({BootstrapOperation, ConfigVersion(0), Document_},
-                   [this](const Outcome<control::ConfigAnswer> &Answer) {
-                     if (!Answer.ok())
-                       logEvent(LogLevel::Info, "app", "bootstrap_waits",
-                                {{"reason", Answer.error().Message}});
-                     Timers_.after(BootstrapRetry, [this] { run(); });
-                   });
-}
-
-RetVal<std::string>
-readBootstrapDocument(const inventory::ProcessSettings &Settings) {
-  if (Settings.Control.BootstrapDocuments.empty())
-    return std::string();
-  BOOST_LEAF_AUTO(Sources,
-                  inventory::readSources(Settings.Control.BootstrapDocuments));
-  auto Parsed = inventory::parseDocument(Sources);
-  if (!Parsed)
-    return fail(inventory::problemsAsError(Parsed.problems()));
-  return inventory::joinSources(Sources);
+  BOOST_LEAF_AUTO(Document, readBootstrapDocument(Settings));
+  return control::setUpControlVm(
+      Services, controlOptions(Settings, Document, Base.Numbers));
 }
 
 } // namespace geraniumbay::app
--- a/src/app/internal/ledgerrole.cpp
+++ b/src/app/internal/ledgerrole.cpp
@@ -28,21 +28,26 @@
   return {};
 }
 
-void LedgerRole::apply(const control::ConfigSnapshot &Snapshot,
-                       const inventory::Document &Document) {
+void LedgerRole::apply(
+    const std::shared_ptr<const inventory::Document> &Document) {
+  Document_ = Document;
   if (Ledger_ == nullptr)
-    begin(Document);
+    begin();
+}
+
+void LedgerRole::takeView() {
   const DataCentreId &Own = Settings_.Process.DataCentre;
-  auto View = Snapshot.Ledgers.find(Own);
-  if (Ledger_ != nullptr && View != Snapshot.Ledgers.end())
-    Ledger_->applyView(ledgerView(Own, View->second, Document.Inv));
+  const control::LedgerViews &Views = Source_.current().Ledgers;
+  auto View = Views.find(Own);
+  if (Ledger_ != nullptr && View != Views.end())
+    Ledger_->applyView(ledgerView(Own, View->second, Document_->Inv));
 }
 
-void LedgerRole::begin(const inventory::Document &Document) {
+void LedgerRole::begin() {
   ledger::LedgerConfig Config;
   Config.DataCentre = Settings_.Process.DataCentre;
   Config.Vm = Settings_.Process.Vm;
-  Config.Retention = Document.Rule.Retention;
+  Config.Retention = Document_->Rule.Retention;
   ledger::setupLedger(
       Services_, Config,
       [this](const ledger::ViewProposal &Proposal) { propose(Proposal); },
--- a/src/app/internal/ledgerrole.h
+++ b/src/app/internal/ledgerrole.h
@@ -25,15 +25,18 @@
 
   /// Opens the folder of the ledger. To be called before apply().
   Ret open();
-  /// Takes the ledger's view. The ledger begins with the first configuration,
-  /// which says how long answers are kept.
-  void apply(const control::ConfigSnapshot &Snapshot,
-             const inventory::Document &Document);
+  /// Takes a configuration. The ledger begins with the first one, which says
+  /// how long answers are kept.
+  void apply(const std::shared_ptr<const inventory::Document> &Document);
+  /// Gives the ledger its view. To be called when control has changed or
+  /// confirmed it, never for a copy of old: a ledger that control has not
+  /// confirmed for long refuses callers' own keys.
+  void takeView();
   /// What status shows of the role.
   Json::Value status() const;
 
 private:
-  void begin(const inventory::Document &Document);
+  void begin();
   void propose(const ledger::ViewProposal &Proposal);
 
   Registry &Services_;
@@ -41,6 +44,8 @@
   const inventory::ProcessSettings &Settings_;
   control::IConfigSource &Source_;
   control::IControlClient &Control_;
+  /// What is in force; null before the first configuration.
+  std::shared_ptr<const inventory::Document> Document_;
   /// Null until the first configuration.
   ledger::ILedger *Ledger_ = nullptr;
 };
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -39,6 +39,22 @@
   return Shared;
 }
 
+/// Whom a process asks that reaches no control VM: the others of its own data
+/// centre first, since those of others may be cut off as well.
+std::vector<Endpoint>
+peersToAsk(const std::shared_ptr<const inventory::Document> &Document,
+           const inventory::ProcessIdentity &Own) {
+  std::vector<Endpoint> Near;
+  std::vector<Endpoint> Far;
+  if (Document == nullptr)
+    return Near;
+  for (const auto &[Name, Vm] : Document->Inv.Vms)
+    if (Name != Own.Vm)
+      (Vm.DataCentre == Own.DataCentre ? Near : Far).push_back(Vm.Peer);
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
+}
+
 } // namespace
 
 struct Process::Impl {
@@ -55,7 +71,8 @@
   BaseServices Base;
   Registry Services;
   control::IConfigSource *Source = nullptr;
-  std::optional<Bootstrap> First;
+  /// What is in force; null before the first configuration.
+  std::shared_ptr<const inventory::Document> Document;
   std::optional<EntryRole> Entry;
   std::optional<LedgerRole> Ledger;
   Drainer Stop;
@@ -93,6 +110,7 @@
                             std::string(inventory::roleName(Each));
   Options.Start = membership::wallIncarnation(Base.Clock, Base.Numbers);
   Options.ControlVms = Settings.Control.Peers;
+  Options.Peers = [this] { return peersToAsk(Document, Settings.Process); };
   control::setUpConfig(Services, std::move(Options));
   Source = &Services.get<control::IConfigSource>(
       control::service_name::ConfigSource);
@@ -105,8 +123,6 @@
   setUpConfigSource();
   auto &Control = Services.get<control::IControlClient>(
       control::service_name::ControlClient);
-  BOOST_LEAF_AUTO(Document, readBootstrapDocument(Settings));
-  First.emplace(*Source, Control, Base.Loop.timers(), Document);
   if (Settings.hasRole(Role::Ledger)) {
     Ledger.emplace(Services, Base, Settings, *Source, Control);
     BOOST_LEAF_CHECK(Ledger->open());
@@ -117,9 +133,14 @@
   }
   Source->subscribe([this](const control::ConfigSnapshot &Snapshot) {
     configChanged(Snapshot);
+    if (Ledger)
+      Ledger->takeView();
+  });
+  Source->onConfirmed([this] {
+    if (Ledger)
+      Ledger->takeView();
   });
   configChanged(Source->current());
-  First->run();
   return {};
 }
 
@@ -134,9 +155,9 @@
               {"problem", Parsed.problems().front().text()}});
     return;
   }
-  auto Document = std::make_shared<const inventory::Document>(*Parsed);
+  Document = std::make_shared<const inventory::Document>(*Parsed);
   if (Ledger)
-    Ledger->apply(Snapshot, *Document);
+    Ledger->apply(Document);
   if (Entry)
     Entry->apply(Snapshot, Document);
 }
--- a/src/control/configsourceoptions.h
+++ b/src/control/configsourceoptions.h
@@ -26,8 +26,10 @@
   Incarnation Start;
   /// The control VMs.
   std::vector<Endpoint> ControlVms;
-  /// May be empty.
+  /// Asks a peer when no control VM answers; made from Peers if it is empty.
   PeerFetch FromPeer;
+  /// Other processes that may be asked for what they have; may be empty.
+  std::function<std::vector<Endpoint>()> Peers;
   Duration Interval = std::chrono::seconds(1);
 };
 
--- a/src/control/controlsetup.cpp
+++ b/src/control/controlsetup.cpp
@@ -9,6 +9,7 @@
 #include "control/internal/configsource.h"
 #include "control/internal/controlclient.h"
 #include "control/internal/controlservice.h"
+#include "control/internal/peerfetch.h"
 #include "framework/kernel/names.h"
 
 namespace geraniumbay::control {
@@ -22,9 +23,12 @@
   Services.add<IControlClient>(
       service_name::ControlClient,
       std::make_shared<ControlClient>(Options.ControlVms, Client, Timers));
+  if (!Options.FromPeer && Options.Peers)
+    Options.FromPeer = fetchFrom(Client, Options.Peers);
   auto Source = std::make_shared<ConfigSource>(std::move(Options), Client,
                                                Timers, Storage.get());
   Services.add<IConfigSource>(service_name::ConfigSource, Source);
+  offerToPeers(Services.get<IRpcServer>(framework_name::RpcServer), *Source);
   Source->start();
 }
 
--- a/src/control/iconfigsource.h
+++ b/src/control/iconfigsource.h
@@ -18,6 +18,7 @@
 class IConfigSource {
 public:
   using Subscriber = std::function<void(const ConfigSnapshot &)>;
+  using Confirmation = std::function<void()>;
 
   virtual ~IConfigSource() = default;
 
@@ -25,6 +26,9 @@
   virtual const ConfigSnapshot &current() const = 0;
   /// Calls \p Run after each change, for the life of the source.
   virtual void subscribe(Subscriber Run) = 0;
+  /// Calls \p Run each time that a control VM in touch with a majority has
+  /// said that current() is the newest; after the subscribers if it was not.
+  virtual void onConfirmed(Confirmation Run) = 0;
   /// Asks control at once rather than at the next poll.
   virtual void refresh() = 0;
 };
--- a/src/control/internal/configsource.cpp
+++ b/src/control/internal/configsource.cpp
@@ -29,6 +29,11 @@
   return wire::readConfigSnapshot(Value);
 }
 
+/// Whether the control VM that answered was in touch with a majority.
+bool isConfirmed(const Json::Value &From) {
+  return From["confirmed"].isBool() && From["confirmed"].asBool();
+}
+
 /// Takes the newer views of \p New; returns whether there are any.
 bool takeLedgers(LedgerViews &Current, const LedgerViews &New) {
   bool Newer = false;
@@ -58,6 +63,10 @@
   Subscribers_.push_back(std::move(Run));
 }
 
+void ConfigSource::onConfirmed(Confirmation Run) {
+  Confirmations_.push_back(std::move(Run));
+}
+
 void ConfigSource::refresh() {
   if (!Asking_)
     poll();
@@ -92,7 +101,11 @@
   if (New) {
     Failures_ = 0;
     schedule(Options_.Interval);
-    return take(std::move(*New));
+    take(std::move(*New));
+    if (isConfirmed(*Result))
+      for (const Confirmation &Run : Confirmations_)
+        Run();
+    return;
   }
   ++Failures_;
   bool RoundFailed = Failures_ % Options_.ControlVms.size() == 0;
--- a/src/control/internal/configsource.h
+++ b/src/control/internal/configsource.h
@@ -29,6 +29,7 @@
 
   const ConfigSnapshot &current() const override { return Current_; }
   void subscribe(Subscriber Run) override;
+  void onConfirmed(Confirmation Run) override;
   void refresh() override;
 
 private:
@@ -48,6 +49,7 @@
   IStorage *Storage_;
   ConfigSnapshot Current_;
   std::vector<Subscriber> Subscribers_;
+  std::vector<Confirmation> Confirmations_;
   /// Which control VM is asked next.
   std::size_t Next_ = 0;
   /// Questions in a row that failed.
--- a/src/control/internal/controlreports.cpp
+++ b/src/control/internal/controlreports.cpp
@@ -38,6 +38,15 @@
   return Result;
 }
 
+/// Whether the member leads, or has heard a leader lately. A leader that hears
+/// no majority steps down, so either means that a majority is in touch.
+bool inTouch(const RaftState &Raft, Time Now) {
+  if (Raft.Current == Role::Leader)
+    return true;
+  return Raft.LeaderHeard &&
+         Now - *Raft.LeaderHeard < Raft.Settings.ElectionTimeout;
+}
+
 const char *roleName(Role Current) {
   switch (Current) {
   case Role::Joining:
@@ -85,6 +94,7 @@
   Json::Value Result(Json::objectValue);
   Result["version"] = Json::UInt64(Published_.Version.value());
   Result["revision"] = Json::UInt64(Published_.Seen.value());
+  Result["confirmed"] = inTouch(Runner_->replica().Raft, Clock_.now());
   if (Published_.Version > Request->InForce)
     Result["document"] = Published_.Document;
   if (Published_.Seen > Request->Seen)
--- a/src/control/tests/servicetest.cpp
+++ b/src/control/tests/servicetest.cpp
@@ -1,5 +1,6 @@
 //===- servicetest.cpp - Control VMs and those who ask them ---------------===//
 
+#include "control/internal/peerfetch.h"
 #include "control/tests/servicefake.h"
 
 #include <gtest/gtest.h>
@@ -133,6 +134,46 @@
   EXPECT_EQ(Source->current().Document, "from a peer");
 }
 
+TEST(ServiceTest, OnlyAControlVmInTouchWithAMajorityConfirms) {
+  ServiceFake Net;
+  auto Rpc = Net.process(1);
+  std::size_t Away = (leaderOf(Net.status()) + 1) % 3;
+  ConfigSourceOptions Options;
+  Options.Self.Vm = VmId("e1");
+  Options.ControlVms = {Net.controlAt(Away)};
+  ConfigSource Source(std::move(Options), *Rpc, Net.Timers, nullptr);
+  int Confirmed = 0;
+  Source.onConfirmed([&] { ++Confirmed; });
+  Source.start();
+  Net.run(3s);
+  EXPECT_GT(Confirmed, 0);
+  // The others cannot reach it any more; the process still can.
+  for (const char *Name : {"control.append", "control.vote"})
+    Net.Net.Servers[Net.controlAt(Away)][Name] =
+        [](const Json::Value &, const IRpcServer::Reply &) {};
+  Net.run(4s);
+  int Before = Confirmed;
+  Net.run(10s);
+  EXPECT_EQ(Confirmed, Before);
+}
+
+TEST(ServiceTest, AProcessCutOffFromControlFetchesFromItsNeighbour) {
+  ServiceFake Net;
+  auto NearRpc = Net.process(1);
+  auto Near = Net.source(*NearRpc, "e1");
+  offerToPeers(*NearRpc, *Near);
+  ASSERT_EQ(*Net.propose("a", 0, "doc"), Version1);
+  Net.run(4s);
+  auto FarRpc = Net.process(2);
+  for (std::size_t I = 0; I < 3; ++I)
+    Net.Net.Cut.insert(Net.controlAt(I));
+  auto Neighbours = [] { return std::vector<Endpoint>{{"10.0.1.1", 7000}}; };
+  auto Far = Net.source(*FarRpc, "e2", "entry", 1, nullptr,
+                        fetchFrom(*FarRpc, Neighbours));
+  Net.run(10s);
+  EXPECT_EQ(Far->current().Document, "doc");
+}
+
 TEST(ServiceTest, StatusTellsWhoIsCutOffAndSinceWhen) {
   ServiceFake Net;
   auto Rpc1 = Net.process(1);
