Make two tests of dispatch bite

With mechanisms disabled one by one on a scratch copy (50 of them), forgetting old run times could be taken out unseen: with one sample the declared time was chosen anyway. The test now learns 20 samples first and checks both sides of the minute. Without a bound of the queue two tests ran for ever instead of failing; they now stop at 1000 requests.

--- a/src/dispatch/tests/entrysidetest.cpp
+++ b/src/dispatch/tests/entrysidetest.cpp
@@ -61,7 +61,11 @@
 
 TEST(RunTimesTest, WhatIsOldIsForgotten) {
   RunTimes Times;
-  learnRun(Times, Service, Caller, seconds(1), seconds(9), Time{});
+  for (int I = 0; I < 20; ++I)
+    learnRun(Times, Service, Caller, seconds(1), seconds(9), Time{});
+  EXPECT_GT(expectedRun(Times, Service, Caller, seconds(1), seconds(1),
+                        Time(seconds(59))),
+            seconds(8));
   EXPECT_EQ(expectedRun(Times, Service, Caller, seconds(1), seconds(1),
                         Time(seconds(61))),
             seconds(1));
--- a/src/dispatch/tests/pooltest.cpp
+++ b/src/dispatch/tests/pooltest.cpp
@@ -189,8 +189,10 @@
   PoolFixture Fixture;
   Fixture.addWorkers(1);
   int Accepted = 0;
-  while (!Fixture.ask(request("r" + std::to_string(Accepted++), 8)))
+  while (Accepted < 1000 &&
+         !Fixture.ask(request("r" + std::to_string(Accepted++), 8)))
     ;
+  ASSERT_LT(Accepted, 1000);
   PoolRequest Back = request("back", 8);
   EXPECT_TRUE(Fixture.ask(Back).has_value());
   Back.Returning = true;
@@ -201,9 +203,11 @@
   PoolFixture Fixture;
   Fixture.addWorkers(1);
   int Accepted = 0;
-  while (!Fixture.ask(
-      request("a" + std::to_string(Accepted++), 8, WorkClass::Routine, "a")))
+  while (Accepted < 1000 &&
+         !Fixture.ask(request("a" + std::to_string(Accepted++), 8,
+                              WorkClass::Routine, "a")))
     ;
+  ASSERT_LT(Accepted, 1000);
   EXPECT_FALSE(
       Fixture.ask(request("b", 8, WorkClass::Routine, "b")).has_value());
 }
