--- a/src/entry/tests/killworld.cpp
+++ b/src/entry/tests/killworld.cpp
@@ -92,6 +92,14 @@
   Done(Answer);
 }
 
+void WorldHttp::resetAll() {
+  std::vector<HttpCallId> Ids;
+  for (const auto &[Id, Done] : Open_)
+    Ids.push_back(Id);
+  for (HttpCallId Id : Ids)
+    finish(Id, Error{ErrorCode::Unavailable, "connection reset"});
+}
+
 // Claims.
 
 void NotingClaims::claim(const Submission &Request, ClaimCallback Done) {
--- a/src/entry/tests/killworld.h
+++ b/src/entry/tests/killworld.h
@@ -70,6 +70,8 @@
                   Callback Done) override;
   void cancel(HttpCallId Id) override { Open_.erase(Id); }
   void finish(HttpCallId Id, const Outcome<HttpResponse> &Answer);
+  /// Resets all connections; the workers may have got the tasks.
+  void resetAll();
 
 private:
   KillWorld &World_;
