Say 'not run' under a key only when the ledger or the caller says so

Cause: a newcomer's trial (docs/OPERATIONS.md) found a resubmission answered 'ran: no' although the first had run: under an id from before the loss of all disks, and under an own key that the ledger refused then. The same holds for any entry that sheds, stops or misses the ledger before the ledger has told what it knows. Also found: a claim that cannot be made was answered at the deadline only. What: a submission that is given up while its claim is under way is answered when the ledger has told (an earlier answer is given even when this entry sheds); without the ledger it is 'maybe, ask again', or 'no' if the caller says that it is the first; a ledger that does not answer for 3 s is told at once with 503 instead of at the deadline, and a claim that another holds is asked for again and again. Ruled out: 'no' with the meaning 'not this time': a caller would take a new key and run twice. Conclusion: 'not run' now rests on a claim, a proof, or the caller's word.

--- a/src/entry/internal/admission.cpp
+++ b/src/entry/internal/admission.cpp
@@ -21,8 +21,8 @@
 using inventory::Service;
 using std::chrono::milliseconds;
 
-/// How long a caller waits that comes before this entry has a configuration.
-constexpr Duration NotReadyRetry = std::chrono::seconds(1);
+/// When a caller comes back whom this entry could not take.
+constexpr Duration NotTakenRetry = std::chrono::seconds(1);
 
 /// The fields of a request, as they were sent.
 struct Fields {
@@ -36,6 +36,7 @@
   std::uint64_t Cores = 0;
   std::uint64_t MemoryMiB = 0;
   bool Returning = false;
+  bool First = false;
 };
 
 RetVal<std::vector<std::string>> readPayloads(const Json::Value &Body,
@@ -83,6 +84,7 @@
   BOOST_LEAF_ASSIGN(Result.MemoryMiB, json::readUintOr(Body, "memory_mib", 0));
   BOOST_LEAF_ASSIGN(Result.Returning,
                     json::readBoolOr(Body, "returning", false));
+  BOOST_LEAF_ASSIGN(Result.First, json::readBoolOr(Body, "first", false));
   return Result;
 }
 
@@ -179,6 +181,7 @@
   Request.Deadline = deadlineOf(Asked, Config.Rule.Timeout, Now);
   Request.DeclaredRun = Asked.DeclaredRun;
   Request.Returning = Asked.Returning;
+  Request.First = Asked.First;
   Request.Payloads = std::move(Asked.Payloads);
   assignKey(Request, Raw.Key, Sender, FreshKey);
   Request.Digest = requestDigest(Request);
@@ -187,11 +190,18 @@
 
 } // namespace
 
+Result notTaken(const RawRequest &Raw, FailureReason Reason,
+                std::string Detail) {
+  Result Answer = notRun(Reason, std::move(Detail), NotTakenRetry);
+  if (!Raw.Key.empty())
+    Answer.DidRun = Ran::Maybe;
+  return Answer;
+}
+
 Admission admit(const RawRequest &Raw, const EntryConfig &Config,
                 const SubmissionId &FreshKey, Time Now) {
   if (Config.Document == nullptr)
-    return notRun(FailureReason::NotReady, "no configuration yet",
-                  NotReadyRetry);
+    return notTaken(Raw, FailureReason::NotReady, "no configuration yet");
   const Document &Doc = *Config.Document;
   auto Asked = attempt([&] { return readFields(Raw); });
   if (!Asked.ok())
--- a/src/entry/internal/admission.h
+++ b/src/entry/internal/admission.h
@@ -36,6 +36,11 @@
 Admission admit(const RawRequest &Raw, const EntryConfig &Config,
                 const SubmissionId &FreshKey, Time Now);
 
+/// The answer to a request that this entry does not take now. Under a key, an
+/// earlier submission may have run: the ledger was not asked.
+Result notTaken(const RawRequest &Raw, FailureReason Reason,
+                std::string Detail);
+
 } // namespace geraniumbay::entry
 
 #endif // GERANIUMBAY_ENTRY_INTERNAL_ADMISSION_H
--- a/src/entry/internal/callerapi.cpp
+++ b/src/entry/internal/callerapi.cpp
@@ -21,9 +21,8 @@
 constexpr int StatusAccepted = 202;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
-/// When callers come back that meet a draining entry: the balancer has turned
-/// to other ones by then.
-constexpr Duration DrainingRetry = std::chrono::seconds(1);
+/// When a caller comes back for an id that could not be issued.
+constexpr Duration IssueRetry = std::chrono::seconds(1);
 
 std::string headerOr(const HttpRequest &Request, const char *Name) {
   const std::string *Value = findHeader(Request.Headers, Name);
@@ -108,8 +107,8 @@
     sendResult(*Exchange, Shown, Given);
   };
   if (Draining_)
-    return Answer(notRun(FailureReason::Draining, "this entry is stopping",
-                         DrainingRetry));
+    return Answer(
+        notTaken(Raw, FailureReason::Draining, "this entry is stopping"));
   Admission Admitted = admit(Raw, Config_, Keys_.Private(), Clock_.now());
   if (const auto *Failure = std::get_if<Result>(&Admitted))
     return Answer(*Failure);
@@ -128,7 +127,7 @@
   if (!Key.ok()) {
     sendResult(Exchange, SubmissionId(),
                notRun(FailureReason::LedgerUnavailable, Key.error().Message,
-                      DrainingRetry));
+                      IssueRetry));
     return;
   }
   Json::Value Body(Json::objectValue);
--- a/src/entry/internal/job.cpp
+++ b/src/entry/internal/job.cpp
@@ -18,6 +18,9 @@
 using dispatch::LeaseOutcome;
 using Phase = TaskState::Phase;
 
+/// When a caller asks again whom nobody could tell whether it ran.
+constexpr Duration AskAgain = std::chrono::seconds(1);
+
 bool decided(const Job &State) { return State.Phase >= JobPhase::Recording; }
 
 TaskState &taskAt(Job &State, TaskIndex Task) {
@@ -63,6 +66,25 @@
   return Actions;
 }
 
+/// Gives up a submission whose claim is under way. Its caller is answered when
+/// the ledger has told whether an earlier submission ran.
+JobActions shed(Job &State, Result Failure) {
+  JobActions Actions;
+  releaseUnstarted(State, Actions);
+  State.Shed = std::move(Failure);
+  return Actions;
+}
+
+/// Ends a submission at once although the ledger has not told whether an
+/// earlier one ran: "not run" is only true if the caller says there was none.
+JobActions endUnknown(Job &State, Result Failure) {
+  if (!State.Request.First) {
+    Failure.DidRun = Ran::Maybe;
+    Failure.RetryAfter = AskAgain;
+  }
+  return endUnstarted(State, std::move(Failure), /*MayHoldClaim=*/true);
+}
+
 /// Decides the answer and records it; the caller gets it from onRecorded.
 void decide(Job &State, Result Answer, JobActions &Actions) {
   State.Phase = JobPhase::Recording;
@@ -73,6 +95,8 @@
 /// Fails a submission whatever it has reached. \p Failure is its result if
 /// nothing was started.
 JobActions failJob(Job &State, Result Failure) {
+  if (State.Phase == JobPhase::Starting)
+    return shed(State, std::move(Failure));
   if (!State.StartedAny)
     return endUnstarted(State, std::move(Failure), /*MayHoldClaim=*/true);
   JobActions Actions;
@@ -143,8 +167,14 @@
     return {};
   if (const auto *Answered = std::get_if<ClaimAnswered>(&Event))
     return endUnstarted(State, Answered->Answer, /*MayHoldClaim=*/false);
-  if (const auto *Refused = std::get_if<ClaimRefused>(&Event))
-    return endUnstarted(State, Refused->Answer, Refused->MayHoldClaim);
+  if (const auto *Refused = std::get_if<ClaimRefused>(&Event)) {
+    Result Answer = Refused->Answer;
+    if (State.Request.First && Answer.Reason != FailureReason::HeldElsewhere)
+      Answer.DidRun = Ran::No;
+    return endUnstarted(State, std::move(Answer), Refused->MayHoldClaim);
+  }
+  if (State.Shed)
+    return endUnstarted(State, *State.Shed, /*MayHoldClaim=*/true);
 
   JobActions Actions;
   State.Phase = JobPhase::Running;
@@ -158,7 +188,7 @@
   auto Waiting = std::find_if(
       State.Tasks.begin(), State.Tasks.end(),
       [](const TaskState &Task) { return Task.Now == Phase::Waiting; });
-  if (decided(State) || Waiting == State.Tasks.end())
+  if (decided(State) || State.Shed || Waiting == State.Tasks.end())
     return {ReleaseLeaseAction{Held, LeaseOutcome::NotStarted}};
 
   Waiting->Now = Phase::Leased;
@@ -171,7 +201,7 @@
 }
 
 JobActions onRejected(Job &State, const dispatch::Rejection &Event) {
-  if (decided(State))
+  if (decided(State) || State.Shed)
     return {};
   Result Failure = rejectedResult(Event);
   if (ownerGone(Event))
@@ -235,15 +265,20 @@
 JobActions onDeadline(Job &State) {
   if (decided(State))
     return {};
-  return failJob(State, notRun(FailureReason::DeadlineExceeded,
-                               "the deadline has passed"));
+  Result Failure =
+      notRun(FailureReason::DeadlineExceeded, "the deadline has passed");
+  if (State.Phase == JobPhase::Starting)
+    return endUnknown(State, std::move(Failure));
+  return failJob(State, std::move(Failure));
 }
 
 JobActions onCancel(Job &State) {
   if (decided(State))
     return {};
-  return failJob(State,
-                 notRun(FailureReason::Cancelled, "cancelled by the caller"));
+  Result Failure = notRun(FailureReason::Cancelled, "cancelled by the caller");
+  if (State.Phase == JobPhase::Starting)
+    return endUnknown(State, std::move(Failure));
+  return failJob(State, std::move(Failure));
 }
 
 JobActions onAbandoned(Job &State) {
--- a/src/entry/internal/job.h
+++ b/src/entry/internal/job.h
@@ -130,6 +130,9 @@
   bool StartedAny = false;
   /// How often tasks came back unstarted and slots were asked for again.
   std::uint32_t Reacquired = 0;
+  /// Why nothing of it will be started, while the claim is under way: only the
+  /// ledger's reply tells whether an earlier submission ran.
+  std::optional<Result> Shed;
   /// The decided answer; set from Recording on.
   std::optional<Result> Answer;
 };
--- a/src/entry/internal/ledgerclaims.cpp
+++ b/src/entry/internal/ledgerclaims.cpp
@@ -23,6 +23,15 @@
 /// whose ledger cannot be reached.
 constexpr Duration ComeBack = std::chrono::seconds(1);
 
+/// A ledger that does not answer for so long cannot take the claim now; the
+/// caller is told at once to come back. A claim that another entry holds is
+/// waited for again and again.
+constexpr Duration ClaimPatience = std::chrono::seconds(3);
+
+bool isHeld(const Outcome<ledger::ClaimReply> &Reply) {
+  return Reply.ok() && Reply->State == ledger::ClaimState::Held;
+}
+
 ClaimEvent refused(Result Answer) { return ClaimRefused{std::move(Answer)}; }
 
 /// The submission is in somebody's hands, who may have started it.
@@ -44,9 +53,9 @@
     return refused(
         notRun(FailureReason::KeyReused, "the key belongs to another request"));
   case ledger::ClaimState::UnknownEpoch:
-    return refused(notRun(FailureReason::UnknownEpoch,
-                          "the id is from before a loss of the ledger; it "
-                          "will not be run"));
+    return refused(mayHaveRun(FailureReason::UnknownEpoch,
+                              "the id is from before a loss of the ledger; "
+                              "whether it ran is unknown, it will not be run"));
   }
   return heldBy("another entry runs it; ask again");
 }
@@ -61,9 +70,12 @@
   if (Reply.error().Code == ErrorCode::Conflict)
     return heldBy("an earlier submission is not over; ask again");
   // Whatever became of the claim, this entry starts nothing of it, and the
-  // ledger's client releases what may have been claimed.
-  return refused(notRun(FailureReason::LedgerUnavailable, Reply.error().Message,
-                        ComeBack));
+  // ledger's client releases what may have been claimed. But nobody has told
+  // whether an earlier submission ran.
+  Result Away =
+      mayHaveRun(FailureReason::LedgerUnavailable, Reply.error().Message);
+  Away.RetryAfter = ComeBack;
+  return refused(std::move(Away));
 }
 
 Result readRecorded(const std::string &Text) {
@@ -84,13 +96,21 @@
     });
     return;
   }
-  Ledger_.claim(
-      Request.Home, Request.Id, Request.Digest, Request.Deadline,
-      [this, Home = Request.Home, Id = Request.Id,
-       Done = std::move(Done)](const Outcome<ledger::ClaimReply> &Reply) {
-        claimed(Home, Id, Reply);
-        Done(readClaimOutcome(Reply));
-      });
+  ask({Request.Home, Request.Id, Request.Digest, Request.Deadline},
+      std::move(Done));
+}
+
+void LedgerClaims::ask(const Wanted &Claim, ClaimCallback Done) {
+  Time GiveUp = std::min(Claim.Deadline, Clock_.now() + ClaimPatience);
+  Ledger_.claim(Claim.Home, Claim.Id, Claim.Digest, GiveUp,
+                [this, Claim, Done = std::move(Done)](
+                    const Outcome<ledger::ClaimReply> &Reply) {
+                  bool TimeLeft = Claim.Deadline - Clock_.now() > ClaimPatience;
+                  if (isHeld(Reply) && TimeLeft && !Pending_[Claim.Id].Released)
+                    return ask(Claim, Done);
+                  claimed(Claim.Home, Claim.Id, Reply);
+                  Done(readClaimOutcome(Reply));
+                });
 }
 
 void LedgerClaims::claimed(const DataCentreId &Home, const SubmissionId &Id,
--- a/src/entry/internal/ledgerclaims.h
+++ b/src/entry/internal/ledgerclaims.h
@@ -30,6 +30,15 @@
   void release(const Submission &Request) override;
 
 private:
+  /// What a claim is about, without the payloads.
+  struct Wanted {
+    DataCentreId Home;
+    SubmissionId Id;
+    std::string Digest;
+    Time Deadline;
+  };
+
+  void ask(const Wanted &Claim, ClaimCallback Done);
   /// A claim whose outcome is not known yet.
   struct Pending {
     /// Nobody wants it any more: if it is granted, it is given back.
--- a/src/entry/internal/runner.cpp
+++ b/src/entry/internal/runner.cpp
@@ -56,9 +56,7 @@
                   Hop = Services_.Spans.beginChild(Root_, "ledger.claim")](
                      const ClaimEvent &Event) {
         Self->Services_.Spans.end(Hop);
-        if (std::holds_alternative<ClaimGranted>(Event))
-          Self->endIfLate();
-        Self->perform(onClaim(std::get<Job>(Self->State_), Event));
+        Self->claimed(Event);
       });
 }
 
@@ -150,8 +148,20 @@
   OnReply_(Action.Answer);
 }
 
+void Runner::claimed(const ClaimEvent &Event) {
+  auto &Running = std::get<Job>(State_);
+  if (std::holds_alternative<ClaimGranted>(Event) && isLate())
+    perform(onClaim(Running,
+                    ClaimRefused{notRun(FailureReason::DeadlineExceeded,
+                                        "the claim came after the deadline"),
+                                 /*MayHoldClaim=*/true}));
+  else
+    perform(onClaim(Running, Event));
+}
+
 void Runner::leased(const dispatch::Lease &Held) {
-  endIfLate();
+  if (isLate())
+    deadlinePassed();
   perform(
       std::visit([&](auto &State) { return onLease(State, Held); }, State_));
 }
@@ -178,11 +188,6 @@
   perform(std::visit([](auto &State) { return onDeadline(State); }, State_));
 }
 
-void Runner::endIfLate() {
-  if (timeLeft() <= Duration::zero())
-    deadlinePassed();
-}
-
 void Runner::startHedgeTimer() {
   auto *Running = std::get_if<Single>(&State_);
   if (Running == nullptr || Running->Attempts.size() != 1)
@@ -208,6 +213,8 @@
   return WorkerTaskId(TaskPrefix_ + "." + std::to_string(Task.value()));
 }
 
+bool Runner::isLate() const { return timeLeft() <= Duration::zero(); }
+
 Duration Runner::timeLeft() const {
   return request().Deadline - Services_.Clock.now();
 }
--- a/src/entry/internal/runner.h
+++ b/src/entry/internal/runner.h
@@ -66,18 +66,19 @@
   void act(const ReleaseClaimAction &Action);
   void act(const ReplyAction &Action);
 
+  void claimed(const ClaimEvent &Event);
   void leased(const dispatch::Lease &Held);
   void rejected(const dispatch::RequestId &Id,
                 const dispatch::Rejection &Event);
   void taskEnded(const TaskEvent &Event);
   void deadlinePassed();
-  /// To be called before tasks may start: a process that stood still gets the
-  /// messages of the meantime before its timers.
-  void endIfLate();
   void startHedgeTimer();
 
   const Submission &request() const;
   WorkerTaskId workerTaskId(TaskIndex Task) const;
+  /// The deadline has passed, perhaps before its timer ran: a process that
+  /// stood still gets the messages of the meantime first.
+  bool isLate() const;
   Duration timeLeft() const;
 
   const RunnerServices &Services_;
--- a/src/entry/submission.h
+++ b/src/entry/submission.h
@@ -34,6 +34,9 @@
   Time Deadline;
   /// Run time of one task as declared; zero if not declared.
   Duration DeclaredRun{0};
+  /// Whether the caller says that it never submitted under this key before. If
+  /// not, only the ledger knows whether the submission ran.
+  bool First = false;
   /// Whether the caller comes back after a Retry-After.
   bool Returning = false;
   /// One payload for each task; at least one.
