Hold "not run" to what ran anywhere, in the failure tests too

The world's check of "ran: no" had an exception for an entry without the ledger's word. Since it is not needed: it is gone, and with it the looser comparison of final answers. New named tests: a resubmission that is shed at another entry while the first runs, or after its answer was recorded, and one at an entry that is cut off from the ledger.

Pools now send held grants as messages, so a lease can wait in a frozen entry (LateLeaseTest).

--- a/src/entry/tests/killpropertytest.cpp
+++ b/src/entry/tests/killpropertytest.cpp
@@ -150,9 +150,9 @@
 }
 
 /// Whether the caller was given the answer of the submission, and not just told
-/// to ask again, that nothing ran, or that the entry does not know.
+/// to ask again or that nothing ran.
 bool isFinal(const Told &One) {
-  if (!One.Answer || !One.Heard)
+  if (!One.Answer)
     return false;
   return One.Answer->complete() || (One.Answer->DidRun == Ran::Maybe &&
                                     One.Answer->RetryAfter == Duration::zero());
--- a/src/entry/tests/killtest.cpp
+++ b/src/entry/tests/killtest.cpp
@@ -223,5 +223,21 @@
       return std::string(Info.param.Name);
     });
 
+TEST(LateLeaseTest, IsGivenBackByAnEntryThatComesBackAfterTheDeadline) {
+  KillWorld World;
+  reach(World, Step::Granted);
+  World.freeze(First);
+  World.entry(First).Pools.grantAll();
+  World.Net.run(seconds(6));
+  World.thaw(First);
+  World.Net.run(seconds(1));
+  ASSERT_TRUE(World.All[0].Answer.has_value());
+  EXPECT_EQ(World.All[0].Answer->Reason, FailureReason::DeadlineExceeded);
+  EXPECT_EQ(World.All[0].Answer->DidRun, Ran::No);
+  EXPECT_EQ(World.entry(First).Pools.leasesOut(), 0U);
+  EXPECT_EQ(World.starts(), 0);
+  EXPECT_EQ(World.violation(), "");
+}
+
 } // namespace
 } // namespace geraniumbay::entry
--- a/src/entry/tests/killworld.cpp
+++ b/src/entry/tests/killworld.cpp
@@ -48,7 +48,9 @@
   for (const auto &[Id, Asked] : Waiting_)
     Ids.push_back(Id);
   for (const dispatch::RequestId &Id : Ids)
-    Timers_.after(Duration::zero(), [this, Id] { decide(Id); });
+    World_.Net.send(
+        World_.Net.at(KillWorld::Platform), KillWorld::processOf(Self_.Entry),
+        [this, Id](const ledger::TestProcess & /*At*/) { decide(Id); });
 }
 
 void WorldPools::decide(const dispatch::RequestId &Id) {
@@ -126,9 +128,9 @@
 
 EntryProcess::EntryProcess(KillWorld &World, ledger::TestProcess &Own,
                            ProcessRef Self)
-    : Pools(World, *Own.Timers), Http(World, *Own.Timers, Self), Workers(Http),
-      Ledger(*Own.Client, World.Net.Clock, *Own.Timers), Claims(Ledger),
-      Spans(World.Net.Clock, World.Net.Numbers, {}),
+    : Pools(World, *Own.Timers, Self), Http(World, *Own.Timers, Self),
+      Workers(Http), Ledger(*Own.Client, World.Net.Clock, *Own.Timers),
+      Claims(Ledger), Spans(World.Net.Clock, World.Net.Numbers, {}),
       Submissions(
           RunnerServices{World.Net.Clock, *Own.Timers, Pools, Claims, Workers,
                          [&World] {
@@ -311,7 +313,6 @@
     fail("a caller was answered twice");
   Now.Answer = Answer;
   Now.StartsBefore = starts();
-  Now.Heard = entry(Now.Entry).Claims.Heard;
   checkAnswer(Now);
 }
 
@@ -320,8 +321,7 @@
   if (!Answer.complete()) {
     if (!Answer.Answers.empty())
       fail("a failed answer has answers of tasks");
-    // An entry that has no word of the ledger speaks of its own part only.
-    if (Answer.DidRun == Ran::No && Now.Heard && Now.StartsBefore > 0)
+    if (Answer.DidRun == Ran::No && Now.StartsBefore > 0)
       fail(std::string("told not run, but it ran: ") +
            failureReasonName(Answer.Reason));
     return;
--- a/src/entry/tests/killworld.h
+++ b/src/entry/tests/killworld.h
@@ -30,8 +30,8 @@
 /// The pools as one entry reaches them.
 class WorldPools : public dispatch::IPoolClient {
 public:
-  WorldPools(KillWorld &World, ITimers &Timers)
-      : World_(World), Timers_(Timers) {}
+  WorldPools(KillWorld &World, ITimers &Timers, ProcessRef Self)
+      : World_(World), Timers_(Timers), Self_(Self) {}
 
   void acquire(dispatch::PoolRequest Request, LeaseCallback OnLease,
                RejectCallback OnReject) override;
@@ -39,7 +39,7 @@
   void release(const dispatch::Lease &Held, dispatch::LeaseOutcome Outcome,
                Duration Ran) override;
 
-  /// Grants what was asked for and held back.
+  /// Grants what was asked for and held back, by messages to the entry.
   void grantAll();
   /// Leases that were handed out and not given back.
   std::size_t leasesOut() const { return Out_.size(); }
@@ -55,6 +55,7 @@
 
   KillWorld &World_;
   ITimers &Timers_;
+  const ProcessRef Self_;
   std::map<dispatch::RequestId, Waiting> Waiting_;
   std::set<dispatch::LeaseId> Out_;
   std::uint64_t LastLease_ = 0;
@@ -122,10 +123,8 @@
 struct Told {
   std::size_t Entry = 0;
   std::optional<Result> Answer;
-  /// Starts of tasks before the answer, and whether the entry knew by then how
-  /// the ledger stands.
+  /// Starts of tasks before the answer.
   int StartsBefore = 0;
-  bool Heard = false;
 };
 
 /// The test system.
--- a/src/entry/tests/resubmissiontest.cpp
+++ b/src/entry/tests/resubmissiontest.cpp
@@ -62,6 +62,48 @@
   EXPECT_EQ(World.violation(), "");
 }
 
+TEST(ResubmissionTest, ShedElsewhereWhileTheFirstRunsIsNeverToldNotRun) {
+  KillWorld World;
+  World.HoldAnswers = true;
+  World.submit(First, seconds(8));
+  World.Net.run(milliseconds(300));
+  World.Overloaded = true;
+  std::size_t Again = World.submit(Other);
+  World.Net.run(seconds(5));
+  ASSERT_TRUE(World.All[Again].Answer.has_value());
+  EXPECT_EQ(World.All[Again].Answer->DidRun, Ran::Maybe);
+  World.answerAll();
+  EXPECT_TRUE(World.askUntilFinal(Other).complete());
+  EXPECT_EQ(World.starts(), 3);
+  EXPECT_EQ(World.violation(), "");
+}
+
+TEST(ResubmissionTest, ShedElsewhereAfterTheAnswerIsGivenTheAnswer) {
+  KillWorld World;
+  World.submit(First);
+  World.Net.run(seconds(1));
+  ASSERT_TRUE(World.All[0].Answer && World.All[0].Answer->complete());
+  World.Overloaded = true;
+  std::size_t Again = World.submit(Other);
+  World.Net.run(seconds(1));
+  EXPECT_EQ(World.All[Again].Answer, World.All[0].Answer);
+  EXPECT_EQ(World.starts(), 3);
+  EXPECT_EQ(World.violation(), "");
+}
+
+TEST(ResubmissionTest, CutOffElsewhereWhileTheFirstRunsIsNeverToldNotRun) {
+  KillWorld World;
+  World.HoldAnswers = true;
+  World.submit(First, seconds(8));
+  World.Net.run(milliseconds(300));
+  World.cutFromLedgers(Other, true);
+  std::size_t Again = World.submit(Other);
+  World.Net.run(seconds(5));
+  ASSERT_TRUE(World.All[Again].Answer.has_value());
+  EXPECT_EQ(World.All[Again].Answer->DidRun, Ran::Maybe);
+  EXPECT_EQ(World.violation(), "");
+}
+
 TEST(ResubmissionTest, AfterTheAnswerWasNotRecordedIsNeverToldNotRun) {
   KillWorld World;
   failToRecord(World);
