Mend what a newcomer met: urgent refusals, removed entries, TLS, log times

Causes, from the trials listed in docs/OPERATIONS.md: - Urgent jobs were refused at a load where routine ones were taken: the longest wait for urgent work was 500 ms against 2 s, and newcomers get 0.3 of it. Measured: 50 of 50 dispatch tests pass; the new one fails with 500 ms (its assertion is that comparison).

--- a/src/app/internal/entryrole.cpp
+++ b/src/app/internal/entryrole.cpp
@@ -33,6 +33,13 @@
       membership::service_name::Membership);
 }
 
+/// Whether the inventory lists \p Vm as an entry. One that it does not list any
+/// more takes no new work, and the balancer is told.
+bool isEntry(const inventory::Inventory &Inv, const VmId &Vm) {
+  const inventory::Vm *Listed = inventory::findByName(Inv.Vms, Vm);
+  return Listed != nullptr && Listed->Roles.contains(inventory::Role::Entry);
+}
+
 std::vector<membership::PoolSummary>
 ownSummaries(const dispatch::IPoolOwner &Pool) {
   std::vector<membership::PoolSummary> Summaries;
@@ -102,6 +109,11 @@
   Pool_->setPolicy(poolPolicy(*Document));
   if (Entry_ != nullptr)
     applyToEntry();
+  if (!Draining_ && !isEntry(Document->Inv, Settings_.Process.Vm)) {
+    logEvent(LogLevel::Warning, "app", "entry_removed",
+             {{"vm", Settings_.Process.Vm}, {"version", Snapshot.Version}});
+    drain();
+  }
 }
 
 void EntryRole::applyToEntry() {
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -32,6 +32,11 @@
 }
 
 RetVal<Secrets> readSecrets(const inventory::SecuritySettings &Security) {
+  // Better no start than a token in clear text behind a promise of TLS.
+  if (!Security.AdminCertificateFile.empty())
+    return fail(ErrorCode::InvalidArgument,
+                "security.admin_certificate_file: TLS of the administration is "
+                "not built yet; keep its address on loopback");
   Secrets Shared;
   BOOST_LEAF_ASSIGN(Shared.PeerKey, readOptionalSecret(Security.PeerKeyFile));
   BOOST_LEAF_ASSIGN(Shared.AdminToken,
--- a/src/dispatch/poolpolicy.h
+++ b/src/dispatch/poolpolicy.h
@@ -36,7 +36,8 @@
   /// that was begun is also finished.
   bool RankByRemaining = true;
   /// Longest expected wait in the queue that a new request is accepted with.
-  Duration MaxUrgentWait = std::chrono::milliseconds(500);
+  /// Urgent work is never refused where routine work would be taken.
+  Duration MaxUrgentWait = std::chrono::seconds(2);
   Duration MaxRoutineWait = std::chrono::seconds(2);
   /// Part of the longest wait up to which new requests are accepted, in (0, 1];
   /// the rest is kept for those who come back when they were told to.
--- a/src/dispatch/tests/pooltest.cpp
+++ b/src/dispatch/tests/pooltest.cpp
@@ -260,5 +260,10 @@
   EXPECT_TRUE(Fixture.grants().empty());
 }
 
+TEST(PoolTest, ByDefaultUrgentWorkIsNotRefusedWhereRoutineWorkIsTaken) {
+  PoolPolicy Defaults;
+  EXPECT_GE(Defaults.MaxUrgentWait, Defaults.MaxRoutineWait);
+}
+
 } // namespace
 } // namespace geraniumbay::dispatch
--- a/src/framework/log/log.cpp
+++ b/src/framework/log/log.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr const char *LinePattern =
-    "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p module=%c %m%n";
+    "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p module=%c %m%n";
 
 log4cxx::LevelPtr levelOf(LogLevel Level) {
   switch (Level) {
