Open an entry's address once it is free, and keep tests off ephemeral ports

Cause: a run of a process test timed out with an entry that never got ready. The tests took ports from the range that the kernel gives to outgoing connections, and an entry opens its callers' address late, so a connection of another process may hold it by then; the entry logged that and stayed shut for good. That this is what happened in that run is likely, not shown. What: the entry tries again every second and logs why; tests take ports below that range. Seen: the new process test, with the port held for a while, fails with the binary before (which writes another event and never opens) and passes after. Conclusion: a held address delays an entry instead of disabling it.

--- a/src/app/internal/entryrole.cpp
+++ b/src/app/internal/entryrole.cpp
@@ -22,6 +22,8 @@
 
 /// How often a process that is not trusted yet looks again.
 constexpr Duration TrustCheck = std::chrono::milliseconds(50);
+/// How soon an address that something else holds is tried again.
+constexpr Duration ListenRetry = std::chrono::seconds(1);
 
 /// Registers the membership; returns its view.
 membership::IMembership &joinMembership(Registry &Services, BaseServices &Base,
@@ -89,15 +91,25 @@
   entry::setupEntry(Services_, Own.Vm, Own.DataCentre);
   Entry_ = &Services_.get<entry::IEntry>(entry::service_name::Entry);
   applyToEntry();
+  if (Draining_)
+    Entry_->drain();
+  listenForCallers();
+}
+
+void EntryRole::listenForCallers() {
+  const inventory::ProcessIdentity &Own = Settings_.Process;
   auto Listening = attempt([&] { return Base_.Callers.listen(*Own.Caller); });
-  logEvent(Listening.ok() ? LogLevel::Info : LogLevel::Error, "app",
-           "entry_open",
+  if (!Listening.ok()) {
+    logEvent(LogLevel::Error, "app", "entry_not_open",
+             {{"address", Own.Caller->text()},
+              {"reason", Listening.error().Message}});
+    Base_.Loop.timers().after(ListenRetry, [this] { listenForCallers(); });
+    return;
+  }
+  logEvent(LogLevel::Info, "app", "entry_open",
            {{"vm", Own.Vm},
             {"incarnation", Members_.incarnation()},
-            {"address", Own.Caller->text()},
-            {"listening", Listening.ok()}});
-  if (Draining_)
-    Entry_->drain();
+            {"address", Own.Caller->text()}});
 }
 
 void EntryRole::apply(
--- a/src/app/internal/entryrole.h
+++ b/src/app/internal/entryrole.h
@@ -44,6 +44,8 @@
 
 private:
   void openWhenTrusted();
+  /// Opens the callers' address; tries again while something else holds it.
+  void listenForCallers();
   void applyToEntry();
   void watchEntries();
 
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -60,17 +61,30 @@
 
 
 class FreePorts:
-    """Hands out ports of loopback that nothing listens on."""
+    """Hands out ports of loopback that nothing uses.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections: a process that listens late would else find its port in use by
+    a connection of another one.
+    """
+
+    FIRST, LAST = 10000, 32000
 
     def __init__(self):
         self._taken = []
+        self._next = random.randrange(self.FIRST, self.LAST)
 
     def take(self):
-        probe = socket.socket()
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        self._taken.append(probe)
-        return probe.getsockname()[1]
+        while True:
+            self._next = self.FIRST if self._next >= self.LAST else self._next + 1
+            probe = socket.socket()
+            try:
+                probe.bind(("127.0.0.1", self._next))
+            except OSError:
+                probe.close()
+                continue
+            self._taken.append(probe)
+            return self._next
 
     def release(self):
         """Lets go of all ports, so that the processes can listen on them."""
@@ -176,9 +190,13 @@
             self.start_worker(name, *worker_flags)
         self.wait_ready()
 
-    def wait_ready(self):
+    def wait_ready_only(self):
+        """Waits until every entry takes requests, with or without workers."""
         for vm in self.entries():
             wait_until(lambda: self.is_ready(vm), READY_SECONDS, vm + " ready")
+
+    def wait_ready(self):
+        self.wait_ready_only()
         wait_until(self._serves, READY_SECONDS, "a first task is served")
 
     def is_ready(self, vm):
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -7,6 +7,7 @@
 import os
 import shutil
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -147,6 +148,25 @@
         self.assertEqual(self.cluster.status("pompeya-e1")["version"], 1)
 
 
+class StartTest(unittest.TestCase):
+    def test_entry_opens_once_its_address_is_free(self):
+        cluster = Cluster(workers=3)
+        self.addCleanup(cluster.close)
+        vm = cluster.entries()[0]
+        host, port = cluster.callers[vm].split(":")
+        holder = socket.socket()
+        holder.bind((host, int(port)))
+        for name in cluster.settings:
+            cluster.start(name)
+        wait_until(
+            lambda: "event=entry_not_open" in cluster.log(vm),
+            SETTLE_SECONDS,
+            "the entry finds its address in use",
+        )
+        holder.close()
+        cluster.wait_ready_only()
+
+
 class FaultyWorkersTest(unittest.TestCase):
     def run_job(self, *faults):
         cluster = Cluster(workers=3)
