Report a worker that cannot be connected to as unreachable

Cause: a refused connection was reported to the pool as 'not started', which says nothing of the worker, so the pool would hand the dead worker's slots out again and again until its silence of 3 s; its own outlier detection has an outcome for that case which nobody sent. Seen: the new test asks for that outcome; the mapping before gave NotStarted.

--- a/src/entry/internal/slots.cpp
+++ b/src/entry/internal/slots.cpp
@@ -46,7 +46,8 @@
   case TaskEnd::Succeeded:
     return dispatch::LeaseOutcome::Succeeded;
   case TaskEnd::NotStarted:
-    return dispatch::LeaseOutcome::NotStarted;
+    // The task was to be sent, and the worker could not be reached.
+    return dispatch::LeaseOutcome::Unreachable;
   case TaskEnd::Refused:
     return dispatch::LeaseOutcome::Refused;
   case TaskEnd::Failed:
--- a/src/entry/tests/entrytest.cpp
+++ b/src/entry/tests/entrytest.cpp
@@ -168,6 +168,15 @@
   EXPECT_EQ(W.Claims.Releases, 1);
 }
 
+TEST(EntryTest, AWorkerThatCannotBeReachedIsReportedToItsPool) {
+  World W;
+  W.task(Task);
+  W.Pools.grantAll(0);
+  auto Sent = std::exchange(W.Workers.Open, {});
+  Sent.begin()->second.Done(Error{ErrorCode::Refused, "connection refused"});
+  EXPECT_EQ(W.Pools.Released.at(0), dispatch::LeaseOutcome::Unreachable);
+}
+
 TEST(EntryTest, AShedResubmissionStillGetsTheEarlierAnswer) {
   World W;
   auto Ex = W.job(Job, "key-1");
