--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -3,7 +3,9 @@
 #   case by case, with a fixed seed for the property tests.
 # gb_benchmark(NAME SOURCES ... LIBS ...): a Google Benchmark program; it is
 #   built but not run by CTest.
-include(GoogleTest)
+if(GB_TESTS)
+  include(GoogleTest)
+endif()
 
 # GCC 12 takes the storage of a LEAF result for uninitialised where it is not.
 set(GB_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wno-maybe-uninitialized)
@@ -18,6 +20,9 @@
 endfunction()
 
 function(gb_tests NAME)
+  if(NOT GB_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   target_compile_options(${NAME} PRIVATE ${GB_WARNINGS})
@@ -28,6 +33,9 @@
 endfunction()
 
 function(gb_benchmark NAME)
+  if(NOT GB_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   target_compile_options(${NAME} PRIVATE ${GB_WARNINGS})
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -9,6 +9,7 @@
 #include "framework/clock/systemclock.h"
 #include "framework/net/httpclient.h"
 #include "framework/rpc/rpcclient.h"
+#include "platform/program.h"
 
 #include <iostream>
 #include <random>
@@ -50,6 +51,7 @@
   std::vector<cli::Command> Commands = cli::standardCommands();
   Commands.insert(Commands.begin(), app::serveCommand());
   Commands.push_back(app::standInCommand());
+  Commands.push_back(platform::platformCommand());
   return cli::runCommand(Count, Arguments, Commands, Deps, std::cout,
                          std::cerr);
 }
--- a/src/control/controloptions.h
+++ b/src/control/controloptions.h
@@ -7,6 +7,8 @@
 #ifndef GERANIUMBAY_CONTROL_CONTROLOPTIONS_H
 #define GERANIUMBAY_CONTROL_CONTROLOPTIONS_H
 
+#include "control/ireplicatedstate.h"
+#include "framework/clock/iclock.h"
 #include "framework/errors/error.h"
 #include "framework/net/endpoint.h"
 #include "framework/types/strongid.h"
@@ -30,6 +32,17 @@
   /// An installation sets it; it does no harm later, because a VM that knows a
   /// group, or is silent, prevents founding.
   bool MayFound = false;
+  /// Whether VMs that are not listed may join. Their name must then be the
+  /// address at which they are reached ("address:port").
+  bool AdmitsUnlisted = false;
+  /// How often a leader calls its followers, and how long they wait for it.
+  Duration Heartbeat = std::chrono::milliseconds(500);
+  Duration ElectionTimeout = std::chrono::milliseconds(2000);
+  /// The log is compacted into a snapshot when it holds more than this.
+  std::size_t MaxLogEntries = 256;
+  std::size_t MaxLogBytes = std::size_t{4} << 20U;
+  /// The module that shares the log; may be null. Outlives the service.
+  IReplicatedState *Module = nullptr;
   /// The first configuration of a group that has none; may be empty.
   std::string FirstDocument;
   /// From the operating system; different at each start.
--- a/src/control/controlsetup.cpp
+++ b/src/control/controlsetup.cpp
@@ -40,6 +40,7 @@
       Services.get<IRpcServer>(framework_name::RpcServer),
       Services.get<IRpcClient>(framework_name::RpcClient));
   Services.add<ControlService>(service_name::ControlVm, Service);
+  Services.add<IReplicatedLog>(service_name::ReplicatedLog, Service);
   return Service->start();
 }
 
--- a/src/control/controlsetup.h
+++ b/src/control/controlsetup.h
@@ -23,6 +23,7 @@
 constexpr const char *ConfigSource = "config_source";   ///< IConfigSource
 constexpr const char *ControlClient = "control_client"; ///< IControlClient
 constexpr const char *ControlVm = "control_vm";         ///< ControlService
+constexpr const char *ReplicatedLog = "replicated_log"; ///< IReplicatedLog
 
 // Looked up by this module.
 constexpr const char *ControlStorage = "control_storage"; ///< IStorage
--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr const char *Module = "control";
+/// The timer of a member, unless its heartbeat is too short for it.
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration MessageTimeout = std::chrono::seconds(1);
 constexpr Duration SnapshotTimeout = std::chrono::seconds(10);
@@ -32,6 +33,11 @@
     Settings.ControlVms.push_back(Peer.Vm);
   std::sort(Settings.ControlVms.begin(), Settings.ControlVms.end());
   Settings.MayFound = Options.MayFound;
+  Settings.AdmitsUnlisted = Options.AdmitsUnlisted;
+  Settings.Heartbeat = Options.Heartbeat;
+  Settings.ElectionTimeout = Options.ElectionTimeout;
+  Settings.MaxLogEntries = Options.MaxLogEntries;
+  Settings.MaxLogBytes = Options.MaxLogBytes;
   return Settings;
 }
 
@@ -53,6 +59,8 @@
     return "control.append";
   if (std::holds_alternative<SnapshotRequest>(Body))
     return "control.snapshot";
+  if (std::holds_alternative<TakeOver>(Body))
+    return "control.take_over";
   return "control.join";
 }
 
@@ -99,7 +107,8 @@
   Out.Handled = [this](const ReplicaEvent &What) { handled(What); };
   Out.Failed = [this](const Error &Why) { failed(Why); };
   Runner_ = std::make_unique<MemberRunner>(
-      startReplica(std::move(Raft), Options_.Validate), Store_, Clock_,
+      startReplica(std::move(Raft), Options_.Validate, Options_.Module), Store_,
+      Clock_,
       std::move(Out));
   publish();
   offerMethods();
@@ -115,7 +124,8 @@
                    });
   };
   for (const char *Name :
-       {"control.vote", "control.append", "control.snapshot", "control.join"})
+       {"control.vote", "control.append", "control.snapshot", "control.join",
+        "control.take_over"})
     Offer(Name, &ControlService::receive);
   Offer("control.propose", &ControlService::propose);
   Offer("control.ledger", &ControlService::changeLedger);
@@ -130,14 +140,15 @@
   if (!Runner_->busy())
     Runner_->post(Tick{});
   proposeFirst();
-  Timers_.after(TickInterval, [this] { tick(); });
+  Timers_.after(std::min(TickInterval, Options_.Heartbeat / 4),
+                [this] { tick(); });
 }
 
 void ControlService::receive(const Json::Value &Params, Reply Answer) {
   auto What = attempt([&] { return wire::readMessage(Params); });
   if (!What)
     return Answer(What.error());
-  if (isAnswer(What->Body) || !peer(What->From.Vm))
+  if (isAnswer(What->Body) || !addressOf(What->From.Vm))
     return Answer(Error{ErrorCode::Refused, "not for a control VM"});
   What->Call = ++LastCall_;
   Calls_[What->Call] = std::move(Answer);
@@ -154,24 +165,29 @@
       Call.mapped()(wire::write(What));
     return;
   }
-  const ControlPeer *To = peer(What.To.Vm);
+  auto To = addressOf(What.To.Vm);
   if (!To)
     return;
   bool Large = std::holds_alternative<SnapshotRequest>(What.Body);
-  Client_.call(To->At, methodFor(What.Body), wire::write(What),
+  Client_.call(*To, methodFor(What.Body), wire::write(What),
                Large ? SnapshotTimeout : MessageTimeout,
-               [this, Vm = To->Vm](const Outcome<Json::Value> &Result) {
+               [this, Vm = What.To.Vm,
+                Sent = Clock_.now()](const Outcome<Json::Value> &Result) {
                  if (!Result)
                    return;
                  auto Back =
                      attempt([&] { return wire::readMessage(*Result); });
-                 if (Back && isAnswer(Back->Body) && Back->From.Vm == Vm)
-                   Runner_->post(Received{std::move(*Back)});
+                 if (!Back || !isAnswer(Back->Body) || Back->From.Vm != Vm)
+                   return;
+                 Back->RequestSent = Sent;
+                 Runner_->post(Received{std::move(*Back)});
                });
 }
 
 void ControlService::handled(const ReplicaEvent &What) {
   publish();
+  for (const auto &Run : Subscribers_)
+    Run();
   const auto *From = std::get_if<Received>(&What);
   if (!From)
     return;
@@ -260,19 +276,25 @@
 void ControlService::forward(const char *Method, Json::Value Params,
                              const Reply &Answer) {
   const auto &Leader = Runner_->replica().Raft.Leader;
-  const ControlPeer *To = Leader ? peer(Leader->Vm) : nullptr;
+  auto To = Leader ? addressOf(Leader->Vm) : std::nullopt;
   bool Again = wire::hasField(Params, "forwarded");
-  if (!To || Again || To->Vm == Options_.Self || Runner_->failed())
+  if (!To || Again || Leader->Vm == Options_.Self || Runner_->failed())
     return Answer(noLeader());
   Params["forwarded"] = true;
   Client_.call(
-      To->At, Method, std::move(Params), ForwardTimeout,
+      *To, Method, std::move(Params), ForwardTimeout,
       [Answer](Outcome<Json::Value> Result) { Answer(std::move(Result)); });
 }
 
 void ControlService::submit(ProposalBody Body, const Reply &Answer) {
+  submitTyped(std::move(Body), [Answer](const Outcome<ProposalAnswer> &Result) {
+    Answer(toJson(Result));
+  });
+}
+
+void ControlService::submitTyped(ProposalBody Body, TypedReply Answer) {
   ProposalId Id(++LastProposal_);
-  Proposals_[Id] = Answer;
+  Proposals_[Id] = std::move(Answer);
   if (Runner_->post(Submit{Id, std::move(Body)}))
     return;
   Proposals_.extract(Id).mapped()(
@@ -281,14 +303,66 @@
 
 void ControlService::replied(const ProposalReply &What) {
   if (auto Proposal = Proposals_.extract(What.Id))
-    Proposal.mapped()(toJson(What.Answer));
+    Proposal.mapped()(What.Answer);
 }
 
-const ControlPeer *ControlService::peer(const VmId &Vm) const {
+std::optional<Endpoint> ControlService::addressOf(const VmId &Vm) const {
   for (const ControlPeer &Peer : Options_.ControlVms)
     if (Peer.Vm == Vm)
-      return &Peer;
-  return nullptr;
+      return Peer.At;
+  if (!Options_.AdmitsUnlisted)
+    return std::nullopt;
+  auto Named = attempt([&] { return parseEndpoint(Vm.value()); });
+  return Named ? std::optional<Endpoint>(*Named) : std::nullopt;
+}
+
+std::optional<LeaderTerm> ControlService::leadsIn() const {
+  if (!leads())
+    return std::nullopt;
+  return LeaderTerm(Runner_->replica().Raft.Hard.Current.value());
+}
+
+bool ControlService::holdsLease() const {
+  return !Runner_->failed() &&
+         control::holdsLease(Runner_->replica().Raft, Clock_.now());
+}
+
+std::optional<Endpoint> ControlService::leaderAddress() const {
+  const auto &Leader = Runner_->replica().Raft.Leader;
+  return Leader ? addressOf(Leader->Vm) : std::nullopt;
+}
+
+std::vector<Endpoint> ControlService::memberAddresses() const {
+  std::vector<Endpoint> Result;
+  const Membership &Members = Runner_->replica().Raft.Group.Members;
+  for (const auto *List : {&Members.Voters, &Members.Learners})
+    for (const MemberId &Member : *List)
+      if (auto At = addressOf(Member.Vm))
+        Result.push_back(*At);
+  return Result;
+}
+
+void ControlService::append(std::string Batch,
+                            std::function<void(Outcome<Done>)> Done) {
+  submitTyped(ModuleBatch{std::move(Batch)},
+              [Done = std::move(Done)](const Outcome<ProposalAnswer> &Result) {
+                if (Result)
+                  return Done(geraniumbay::Done{});
+                Done(Result.error());
+              });
 }
 
+void ControlService::change(ConfigChange Change,
+                            std::function<void(Outcome<ConfigAnswer>)> Answer) {
+  submitTyped(
+      std::move(Change),
+      [Answer = std::move(Answer)](const Outcome<ProposalAnswer> &Result) {
+        if (!Result)
+          return Answer(Result.error());
+        Answer(std::get<ConfigAnswer>(*Result));
+      });
+}
+
+void ControlService::handOver() { Runner_->post(HandOver{}); }
+
 } // namespace geraniumbay::control
--- a/src/control/internal/controlservice.h
+++ b/src/control/internal/controlservice.h
@@ -4,7 +4,8 @@
 // timer, the disk. Consensus messages are RPC calls whose result is the answer
 // message.
 //
-//   control.vote, control.append, control.snapshot, control.join
+//   control.vote, control.append, control.snapshot, control.join,
+//   control.take_over
 //     consensus messages between control VMs
 //   control.propose {operation, base, document} -> {version, failure}
 //   control.ledger  {change} -> {view, failure}
@@ -20,6 +21,7 @@
 #define GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
 
 #include "control/controloptions.h"
+#include "control/ireplicatedlog.h"
 #include "control/internal/memberrunner.h"
 #include "control/internal/watchtable.h"
 #include "framework/clock/itimers.h"
@@ -29,7 +31,7 @@
 namespace geraniumbay::control {
 
 /// One control VM. Lives as long as the loop.
-class ControlService {
+class ControlService : public IReplicatedLog {
 public:
   ControlService(ControlOptions Options, IStorage &Storage, const IClock &Clock,
                  ITimers &Timers, IRpcServer &Server, IRpcClient &Client);
@@ -41,8 +43,24 @@
   /// What watchers of this VM see.
   const ConfigSnapshot &published() const { return Published_; }
 
+  // IReplicatedLog.
+  std::optional<LeaderTerm> leadsIn() const override;
+  bool holdsLease() const override;
+  std::optional<Endpoint> leaderAddress() const override;
+  std::vector<Endpoint> memberAddresses() const override;
+  void append(std::string Batch,
+              std::function<void(Outcome<Done>)> Done) override;
+  const ConfigSnapshot &configuration() const override { return Published_; }
+  void change(ConfigChange Change,
+              std::function<void(Outcome<ConfigAnswer>)> Answer) override;
+  void onChanged(std::function<void()> Run) override {
+    Subscribers_.push_back(std::move(Run));
+  }
+  void handOver() override;
+
 private:
   using Reply = IRpcServer::Reply;
+  using TypedReply = std::function<void(const Outcome<ProposalAnswer> &)>;
   using StatusCallback = std::function<void(ControlStatus)>;
 
   void offerMethods();
@@ -64,6 +82,7 @@
   bool leads() const;
   void forward(const char *Method, Json::Value Params, const Reply &Answer);
   void submit(ProposalBody Body, const Reply &Answer);
+  void submitTyped(ProposalBody Body, TypedReply Answer);
   void replied(const ProposalReply &Reply);
 
   // Watching and status.
@@ -74,7 +93,7 @@
   void gatherStatus(StatusCallback Done);
   void publish();
 
-  const ControlPeer *peer(const VmId &Vm) const;
+  std::optional<Endpoint> addressOf(const VmId &Vm) const;
 
   ControlOptions Options_;
   const IClock &Clock_;
@@ -91,7 +110,8 @@
   /// Consensus messages received and not yet answered, by Message::Call.
   std::map<std::uint64_t, Reply> Calls_;
   std::uint64_t LastProposal_ = 0;
-  std::map<ProposalId, Reply> Proposals_;
+  std::map<ProposalId, TypedReply> Proposals_;
+  std::vector<std::function<void()>> Subscribers_;
   /// The first document has been proposed by this process.
   bool ProposedFirst_ = false;
   WatchTable Watchers_;
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -15,6 +15,8 @@
 bool hearsLeader(const RaftState &State, Time Now) {
   if (State.Current == Role::Leader)
     return true;
+  if (State.NoVoteUntil && Now < *State.NoVoteUntil)
+    return true;
   return State.Leader && State.LeaderHeard &&
          Now - *State.LeaderHeard < State.Settings.ElectionTimeout;
 }
@@ -26,18 +28,21 @@
   return Body.LastIndex >= lastIndex(State.Log);
 }
 
-void askForVotes(const RaftState &State, Actions &Out, bool Pre) {
+void askForVotes(const RaftState &State, Actions &Out, bool Pre,
+                 bool HandedOver = false) {
   for (const MemberId &Voter : State.Group.Members.Voters) {
     if (Voter == State.Self)
       continue;
     send(State, Out, Voter,
-         VoteRequest{Pre, lastIndex(State.Log), lastTerm(State.Log)});
+         VoteRequest{Pre, lastIndex(State.Log), lastTerm(State.Log),
+                     HandedOver});
     if (Pre)
       Out.Messages.back().At = next(State.Hard.Current);
   }
 }
 
-void startElection(RaftState &State, Actions &Out, Time Now) {
+void startElection(RaftState &State, Actions &Out, Time Now,
+                   bool HandedOver = false) {
   State.Current = Role::Candidate;
   State.Hard.Current = next(State.Hard.Current);
   State.Hard.Vote = State.Self;
@@ -45,7 +50,7 @@
   State.Leader.reset();
   State.Votes = {State.Self};
   resetElectionTimer(State, Now);
-  askForVotes(State, Out, false);
+  askForVotes(State, Out, false, HandedOver);
 }
 
 /// Moves on if the votes are a majority.
@@ -82,8 +87,9 @@
 
 void onVoteRequest(RaftState &State, Actions &Out, const Message &From,
                    const VoteRequest &Body, Time Now) {
-  bool Possible = !hearsLeader(State, Now) && isUpToDate(State, Body);
-  if (Body.Pre || hearsLeader(State, Now)) {
+  bool Bound = !Body.HandedOver && hearsLeader(State, Now);
+  bool Possible = !Bound && isUpToDate(State, Body);
+  if (Body.Pre || Bound) {
     bool Granted = Body.Pre && Possible && From.At > State.Hard.Current;
     return answerVote(State, Out, From, Body, Granted);
   }
@@ -99,6 +105,13 @@
   answerVote(State, Out, From, Body, Granted);
 }
 
+void onTakeOver(RaftState &State, Actions &Out, const Message &From, Time Now) {
+  bool FromLeader = From.At == State.Hard.Current && State.Leader == From.From;
+  if (FromLeader && State.Current == Role::Follower &&
+      isVoter(State.Group.Members, State.Self))
+    startElection(State, Out, Now, true);
+}
+
 void onVoteResponse(RaftState &State, Actions &Out, const Message &From,
                     const VoteResponse &Body, Time Now) {
   Role Asking = Body.Pre ? Role::PreCandidate : Role::Candidate;
--- a/src/control/internal/group.cpp
+++ b/src/control/internal/group.cpp
@@ -37,6 +37,8 @@
 }
 
 bool isListed(const RaftState &State, const VmId &Vm) {
+  if (State.Settings.AdmitsUnlisted)
+    return true;
   const std::vector<VmId> &Vms = State.Settings.ControlVms;
   return std::find(Vms.begin(), Vms.end(), Vm) != Vms.end();
 }
--- a/src/control/internal/machine.h
+++ b/src/control/internal/machine.h
@@ -48,6 +48,9 @@
   std::deque<OperationId> OperationOrder;
   std::deque<ChangeRecord> History;
   LedgerViews Ledgers;
+  /// In snapshots: the state of the module that shares the log (see
+  /// IReplicatedState); empty elsewhere.
+  std::string ModuleState;
 
   bool operator==(const MachineState &) const = default;
 };
--- a/src/control/internal/machinewire.cpp
+++ b/src/control/internal/machinewire.cpp
@@ -60,6 +60,8 @@
   for (const ChangeRecord &Record : Value.History)
     History.append(write(Record));
   Result["history"] = std::move(History);
+  if (!Value.ModuleState.empty())
+    Result["module"] = Value.ModuleState;
   return Result;
 }
 
@@ -78,6 +80,7 @@
   }
   BOOST_LEAF_AUTO(History, readList<ChangeRecord>(From, "history", readChange));
   Result.History.assign(History.begin(), History.end());
+  BOOST_LEAF_ASSIGN(Result.ModuleState, json::readStringOr(From, "module", ""));
   return Result;
 }
 
--- a/src/control/internal/raft.cpp
+++ b/src/control/internal/raft.cpp
@@ -127,6 +127,8 @@
     onAppendResponse(State, Out, From, *Append, Now);
   if (const auto *Whole = std::get_if<SnapshotRequest>(&From.Body))
     onSnapshot(State, Out, From, *Whole, Now);
+  if (std::holds_alternative<TakeOver>(From.Body))
+    onTakeOver(State, Out, From, Now);
 }
 
 void receive(RaftState &State, Actions &Out, const Message &From, Time Now) {
@@ -168,6 +170,8 @@
   State.Group = latestMembership(State.Log);
   State.Commit = State.Log.Base.Last;
   bool InGroup = State.Hard.Group != GroupId(0);
+  if (InGroup)
+    State.NoVoteUntil = Now + State.Settings.ElectionTimeout;
   State.Current = InGroup ? Role::Follower : Role::Joining;
   State.FindDue = Now;
   raft::resetElectionTimer(State, Now);
@@ -180,6 +184,8 @@
     raft::receive(State, Out, From->Body, Now);
   else if (const auto *New = std::get_if<Propose>(&What))
     raft::appendAsLeader(State, Out, New->Body, Now);
+  else if (std::holds_alternative<HandOver>(What))
+    raft::handOver(State, Out, Now);
   else
     raft::tick(State, Out, Now);
   return Out;
@@ -190,6 +196,12 @@
          termAt(State.Log, State.Commit) == State.Hard.Current;
 }
 
+bool holdsLease(const RaftState &State, Time Now) {
+  // Steady clocks of two machines differ by far less than a tenth.
+  Duration Lease = State.Settings.ElectionTimeout * 9 / 10;
+  return mayPropose(State) && raft::hearsMajority(State, Lease, Now);
+}
+
 bool wantsCompaction(const RaftState &State) {
   std::size_t Bytes = 0;
   for (const LogEntry &Entry : State.Log.Entries)
--- a/src/control/internal/raft.h
+++ b/src/control/internal/raft.h
@@ -28,6 +28,8 @@
   std::vector<VmId> ControlVms;
   /// Whether this member may take part in founding a group.
   bool MayFound = false;
+  /// Whether a VM that the settings do not list may join the group.
+  bool AdmitsUnlisted = false;
   Duration Heartbeat = std::chrono::milliseconds(500);
   /// A follower waits this long to twice this long for its leader. A leader
   /// that has not heard from a majority for this long steps down.
@@ -53,7 +55,9 @@
   LogIndex Match;
   /// The next entry to send. Invariant: above Match.
   LogIndex Next;
-  /// When the member last answered, or when this leader began to wait for it.
+  /// When the request was sent that the member answered last, or when this
+  /// leader began to wait for it. The member follows this leader for an
+  /// election timeout from then on at least.
   Time LastHeard;
   /// Whether it has answered this leader.
   bool Answered = false;
@@ -79,6 +83,9 @@
   std::optional<MemberId> Leader;
   /// When the leader was last heard; unset after a start.
   std::optional<Time> LeaderHeard;
+  /// Of a member that starts in a group: it may have promised a leader to
+  /// follow it, which it does not remember, so it gives no vote before.
+  std::optional<Time> NoVoteUntil;
   Time ElectionDue;
 
   /// Of a candidate: who granted the (pre-)vote, itself included.
@@ -117,7 +124,9 @@
 struct Propose {
   Command Body;
 };
-using Event = std::variant<Tick, Received, Propose>;
+/// Asks a leader to hand over to the member that is furthest.
+struct HandOver {};
+using Event = std::variant<Tick, Received, Propose, HandOver>;
 
 /// Returns a member as it starts. \p Log and \p Hard come from its disk; both
 /// are empty for a new member.
@@ -131,6 +140,10 @@
 /// that its applied state is the newest there is.
 bool mayPropose(const RaftState &State);
 
+/// Whether this member leads and no other can before \p Now plus the margin
+/// for clock drift: a majority has followed it within the election timeout.
+bool holdsLease(const RaftState &State, Time Now);
+
 /// Returns the membership without the voter \p Vm, or nothing if the leader
 /// cannot change the membership now or it is not there or the last.
 std::optional<Membership> withoutVoter(const RaftState &State, const VmId &Vm);
--- a/src/control/internal/raftlog.cpp
+++ b/src/control/internal/raftlog.cpp
@@ -94,7 +94,9 @@
 
 std::size_t weightOf(const LogEntry &Entry) {
   const auto *Change = std::get_if<ConfigChange>(&Entry.Body);
-  return EntryOverhead + (Change ? Change->Document.size() : 0);
+  const auto *Batch = std::get_if<ModuleBatch>(&Entry.Body);
+  return EntryOverhead + (Change ? Change->Document.size() : 0) +
+         (Batch ? Batch->Changes.size() : 0);
 }
 
 } // namespace geraniumbay::control
--- a/src/control/internal/raftparts.h
+++ b/src/control/internal/raftparts.h
@@ -31,6 +31,7 @@
                    const VoteRequest &Body, Time Now);
 void onVoteResponse(RaftState &State, Actions &Out, const Message &From,
                     const VoteResponse &Body, Time Now);
+void onTakeOver(RaftState &State, Actions &Out, const Message &From, Time Now);
 
 // Replication (replication.cpp).
 void tickLeader(RaftState &State, Actions &Out, Time Now);
@@ -41,6 +42,9 @@
                 const SnapshotRequest &Body, Time Now);
 void onAppendResponse(RaftState &State, Actions &Out, const Message &From,
                       const AppendResponse &Body, Time Now);
+/// Whether a majority has answered a request sent within \p Within.
+bool hearsMajority(const RaftState &State, Duration Within, Time Now);
+void handOver(RaftState &State, Actions &Out, Time Now);
 /// Appends \p Body to the leader's log and sends it.
 void appendAsLeader(RaftState &State, Actions &Out, Command Body, Time Now);
 
--- a/src/control/internal/rafttypes.h
+++ b/src/control/internal/rafttypes.h
@@ -66,7 +66,15 @@
   bool operator==(const Noop &) const = default;
 };
 
-using Command = std::variant<Noop, Membership, ConfigChange, LedgerChange>;
+/// A batch of changes for the state machine of another module.
+struct ModuleBatch {
+  std::string Changes;
+
+  bool operator==(const ModuleBatch &) const = default;
+};
+
+using Command =
+    std::variant<Noop, Membership, ConfigChange, LedgerChange, ModuleBatch>;
 
 struct LogEntry {
   Term At;
@@ -105,6 +113,8 @@
   bool Pre = false;
   LogIndex LastIndex;
   Term LastTerm;
+  /// The leader has handed over: a member that hears it may vote all the same.
+  bool HandedOver = false;
 };
 
 struct VoteResponse {
@@ -133,6 +143,9 @@
   LogIndex Match;
 };
 
+/// From the leader to a member that has the whole log: campaign at once.
+struct TakeOver {};
+
 /// From a member without a group: is there one, may I join?
 struct FindGroup {};
 
@@ -148,7 +161,7 @@
 
 using MessageBody =
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
-                 SnapshotRequest, FindGroup, FindGroupAnswer, FoundGroup>;
+                 SnapshotRequest, FindGroup, FindGroupAnswer, FoundGroup, TakeOver>;
 
 struct Message {
   GroupId Group;
@@ -160,6 +173,9 @@
   /// Set by the receiver's adapter to a request; its answer carries it back.
   std::uint64_t Call = 0;
   MessageBody Body;
+  /// Set by the receiver's adapter to an answer: when its request was sent, so
+  /// that the sender of the answer had heard from this member no earlier.
+  std::optional<Time> RequestSent = std::nullopt;
 };
 
 } // namespace geraniumbay::control
--- a/src/control/internal/raftwire.cpp
+++ b/src/control/internal/raftwire.cpp
@@ -14,6 +14,7 @@
 constexpr const char *MembersKind = "members";
 constexpr const char *ConfigKind = "config";
 constexpr const char *LedgerKind = "ledger";
+constexpr const char *BatchKind = "batch";
 
 struct EntryWriter {
   Json::Value &Result;
@@ -22,6 +23,10 @@
   void operator()(const Membership &Body) const { put(MembersKind, Body); }
   void operator()(const ConfigChange &Body) const { put(ConfigKind, Body); }
   void operator()(const LedgerChange &Body) const { put(LedgerKind, Body); }
+  void operator()(const ModuleBatch &Body) const {
+    Result["kind"] = BatchKind;
+    Result["changes"] = Body.Changes;
+  }
 
   template <typename T> void put(const char *Kind, const T &Body) const {
     Result["kind"] = Kind;
@@ -33,6 +38,10 @@
   BOOST_LEAF_AUTO(Kind, json::readString(From, "kind"));
   if (Kind == NoopKind)
     return Command(Noop{});
+  if (Kind == BatchKind) {
+    BOOST_LEAF_AUTO(Changes, json::readString(From, "changes"));
+    return Command(ModuleBatch{std::move(Changes)});
+  }
   BOOST_LEAF_AUTO(Body, json::readObject(From, "body"));
   if (Kind == MembersKind) {
     BOOST_LEAF_AUTO(Members, readMembership(Body));
@@ -58,6 +67,11 @@
     Result["pre"] = Body.Pre;
     Result["last"] = Json::UInt64(Body.LastIndex.value());
     Result["last_term"] = Json::UInt64(Body.LastTerm.value());
+    if (Body.HandedOver)
+      Result["handed_over"] = true;
+  }
+  void operator()(const TakeOver & /*Body*/) const {
+    Result["kind"] = "take_over";
   }
   void operator()(const VoteResponse &Body) const {
     Result["kind"] = "voted";
@@ -97,6 +111,8 @@
   BOOST_LEAF_ASSIGN(Body.Pre, json::readBoolOr(From, "pre", false));
   BOOST_LEAF_ASSIGN(Body.LastIndex, readNumber<LogIndex>(From, "last"));
   BOOST_LEAF_ASSIGN(Body.LastTerm, readNumber<Term>(From, "last_term"));
+  BOOST_LEAF_ASSIGN(Body.HandedOver,
+                    json::readBoolOr(From, "handed_over", false));
   return MessageBody(Body);
 }
 
@@ -140,6 +156,8 @@
 
 RetVal<MessageBody> readBody(const Json::Value &From) {
   BOOST_LEAF_AUTO(Kind, json::readString(From, "kind"));
+  if (Kind == "take_over")
+    return MessageBody(TakeOver{});
   if (Kind == "vote")
     return readVote(From);
   if (Kind == "voted")
--- a/src/control/internal/replica.cpp
+++ b/src/control/internal/replica.cpp
@@ -6,6 +6,8 @@
 
 #include "control/internal/replica.h"
 
+#include <cassert>
+
 namespace geraniumbay::control {
 
 namespace {
@@ -30,6 +32,19 @@
   }
 }
 
+/// Takes the state of a snapshot. What the disk or the leader handed over has
+/// been checked, so a module that cannot read it breaks an invariant.
+void takeSnapshot(Replica &State) {
+  State.Machine = State.Raft.Log.Base.Machine;
+  State.Applied = State.Raft.Log.Base.Last;
+  if (!State.Module)
+    return;
+  [[maybe_unused]] auto Read =
+      attempt([&] { return State.Module->restore(State.Machine.ModuleState); });
+  assert(Read.ok() && "the module's snapshot does not parse");
+  State.Machine.ModuleState.clear();
+}
+
 ProposalAnswer applyEntry(MachineState &Machine, const Command &Body) {
   if (const auto *Change = std::get_if<ConfigChange>(&Body))
     return apply(Machine, *Change);
@@ -40,12 +55,14 @@
 
 void applyCommitted(Replica &State, ReplicaActions &Out) {
   if (State.Applied < State.Raft.Log.Base.Last) {
-    State.Machine = State.Raft.Log.Base.Machine;
-    State.Applied = State.Raft.Log.Base.Last;
+    takeSnapshot(State);
   }
   while (State.Applied < State.Raft.Commit) {
     State.Applied = next(State.Applied);
     const LogEntry &Entry = entryAt(State.Raft.Log, State.Applied);
+    const auto *Batch = std::get_if<ModuleBatch>(&Entry.Body);
+    if (Batch && State.Module)
+      State.Module->apply(Batch->Changes);
     ProposalAnswer Answer = applyEntry(State.Machine, Entry.Body);
     auto Waiting = State.Waiting.find(State.Applied);
     if (Waiting == State.Waiting.end())
@@ -63,6 +80,8 @@
   Now.LastTerm = entryAt(State.Raft.Log, State.Applied).At;
   Now.Members = membershipAt(State.Raft.Log, State.Applied).Members;
   Now.Machine = State.Machine;
+  if (State.Module)
+    Now.Machine.ModuleState = State.Module->snapshot();
   compact(State.Raft.Log, std::move(Now));
   Out.Raft.ToDisk.SnapshotChanged = true;
 }
@@ -120,6 +139,8 @@
       return reply(Out, What.Id, *std::move(Answer));
     return append(State, Out, What.Id, *Change, Now);
   }
+  if (const auto *Batch = std::get_if<ModuleBatch>(&What.Body))
+    return append(State, Out, What.Id, *Batch, Now);
   const auto &Change = std::get<LedgerChange>(What.Body);
   if (auto Answer = settled(State, Change))
     return reply(Out, What.Id, *std::move(Answer));
@@ -128,12 +149,13 @@
 
 } // namespace
 
-Replica startReplica(RaftState Raft, DocumentValidator Validate) {
+Replica startReplica(RaftState Raft, DocumentValidator Validate,
+                     IReplicatedState *Module) {
   Replica State;
-  State.Machine = Raft.Log.Base.Machine;
-  State.Applied = Raft.Log.Base.Last;
   State.Raft = std::move(Raft);
   State.Validate = std::move(Validate);
+  State.Module = Module;
+  takeSnapshot(State);
   return State;
 }
 
@@ -143,6 +165,8 @@
     submit(State, Out, *New, Now);
   else if (const auto *From = std::get_if<Received>(&What))
     Out.Raft = step(State.Raft, Event(*From), Now);
+  else if (std::holds_alternative<HandOver>(What))
+    Out.Raft = step(State.Raft, Event(HandOver{}), Now);
   else
     Out.Raft = step(State.Raft, Event(Tick{}), Now);
   dropWaiting(State, Out);
--- a/src/control/internal/replica.h
+++ b/src/control/internal/replica.h
@@ -11,6 +11,7 @@
 #define GERANIUMBAY_CONTROL_INTERNAL_REPLICA_H
 
 #include "control/internal/raft.h"
+#include "control/ireplicatedstate.h"
 
 #include <functional>
 
@@ -27,7 +28,8 @@
   VmId Vm;
 };
 
-using ProposalBody = std::variant<ConfigChange, LedgerChange, RemoveVoter>;
+using ProposalBody =
+    std::variant<ConfigChange, LedgerChange, RemoveVoter, ModuleBatch>;
 
 struct Submit {
   ProposalId Id;
@@ -44,7 +46,7 @@
   Outcome<ProposalAnswer> Answer;
 };
 
-using ReplicaEvent = std::variant<Tick, Received, Submit>;
+using ReplicaEvent = std::variant<Tick, Received, Submit, HandOver>;
 
 struct ReplicaActions {
   Actions Raft;
@@ -65,14 +67,17 @@
   RaftState Raft;
   DocumentValidator Validate;
   MachineState Machine;
-  /// Machine holds exactly the entries up to this one.
+  /// The module that shares the log; may be null. Outlives the replica.
+  IReplicatedState *Module = nullptr;
+  /// Machine and Module hold exactly the entries up to this one.
   LogIndex Applied;
   /// Invariant: only a leader has any, all of its own term.
   std::map<LogIndex, WaitingProposal> Waiting;
 };
 
 /// Returns the replica of a member that starts from \p Raft.
-Replica startReplica(RaftState Raft, DocumentValidator Validate);
+Replica startReplica(RaftState Raft, DocumentValidator Validate,
+                     IReplicatedState *Module = nullptr);
 
 /// Handles one event.
 ReplicaActions step(Replica &State, const ReplicaEvent &What, Time Now);
--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -18,6 +18,15 @@
   return Now - Peer.LastHeard < State.Settings.ElectionTimeout;
 }
 
+/// The member to hand over to: a voter that has the whole log.
+std::optional<MemberId> successor(const RaftState &State, Time Now) {
+  for (const auto &[Member, Peer] : State.Peers)
+    if (isVoter(State.Group.Members, Member) && isRecent(State, Peer, Now) &&
+        Peer.Match == lastIndex(State.Log))
+      return Member;
+  return std::nullopt;
+}
+
 /// Gives every other member of the latest membership its progress.
 void syncPeers(RaftState &State, Time Now) {
   std::map<MemberId, Progress> Peers;
@@ -63,14 +72,6 @@
     sendAppend(State, Out, To, false, Now);
 }
 
-bool hearsMajority(const RaftState &State, Time Now) {
-  std::size_t Heard = 0;
-  for (const MemberId &Voter : State.Group.Members.Voters)
-    if (Voter == State.Self || isRecent(State, State.Peers.at(Voter), Now))
-      ++Heard;
-  return isMajority(State.Group.Members, Heard);
-}
-
 /// Commits what a majority of the voters has on disk. An entry of an earlier
 /// term commits only through one of the leader's own term.
 void advanceCommit(RaftState &State) {
@@ -112,6 +113,24 @@
 
 } // namespace
 
+bool hearsMajority(const RaftState &State, Duration Within, Time Now) {
+  std::size_t Heard = 0;
+  for (const MemberId &Voter : State.Group.Members.Voters)
+    if (Voter == State.Self || Now - State.Peers.at(Voter).LastHeard < Within)
+      ++Heard;
+  return isMajority(State.Group.Members, Heard);
+}
+
+void handOver(RaftState &State, Actions &Out, Time Now) {
+  auto To = State.Current == Role::Leader ? successor(State, Now)
+                                          : std::optional<MemberId>();
+  if (!To)
+    return;
+  send(State, Out, *To, TakeOver{});
+  // The successor needs no vote of this member's lease any more.
+  becomeFollower(State, Out, State.Hard.Current, Now);
+}
+
 void startReplication(RaftState &State, Actions &Out, Time Now) {
   State.Current = Role::Leader;
   State.Leader = State.Self;
@@ -133,7 +152,7 @@
 }
 
 void tickLeader(RaftState &State, Actions &Out, Time Now) {
-  if (!hearsMajority(State, Now))
+  if (!hearsMajority(State, State.Settings.ElectionTimeout, Now))
     return becomeFollower(State, Out, State.Hard.Current, Now);
   tickMembership(State, Out, Now);
   if (Now < State.HeartbeatDue)
@@ -182,7 +201,7 @@
       Found == State.Peers.end())
     return;
   Progress &Peer = Found->second;
-  Peer.LastHeard = Now;
+  Peer.LastHeard = std::max(Peer.LastHeard, From.RequestSent.value_or(Now));
   Peer.Answered = true;
   LogIndex Before = Peer.Next;
   if (Body.Success) {
--- a/src/framework/clock/systemclock.cpp
+++ b/src/framework/clock/systemclock.cpp
@@ -6,11 +6,18 @@
 
 #include "framework/clock/systemclock.h"
 
+#include <ctime>
+
 namespace geraniumbay {
 
 Time SystemClock::now() const {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return Time(std::chrono::duration_cast<Duration>(SinceBoot));
+  // CLOCK_BOOTTIME also counts the time that the machine was suspended, which
+  // the steady clock leaves out: a lease must run out meanwhile.
+  timespec SinceBoot{};
+  ::clock_gettime(CLOCK_BOOTTIME, &SinceBoot);
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(SinceBoot.tv_sec) +
+      std::chrono::nanoseconds(SinceBoot.tv_nsec)));
 }
 
 WallMillis SystemClock::wallNow() const {
--- a/src/framework/net/httpserver.cpp
+++ b/src/framework/net/httpserver.cpp
@@ -38,6 +38,8 @@
   if (PathEnd < Req->path.len)
     Request.Query.assign(Req->path.base + PathEnd + 1,
                          Req->path.len - PathEnd - 1);
+  // h2o takes the host out of the headers.
+  Request.Headers.push_back({"host", toString(Req->authority)});
   for (std::size_t I = 0; I < Req->headers.size; ++I) {
     const h2o_header_t &Header = Req->headers.entries[I];
     Request.Headers.push_back({toString(*Header.name), toString(Header.value)});
--- a/src/framework/storage/benchmarks/syncbenchmark.cpp
+++ b/src/framework/storage/benchmarks/syncbenchmark.cpp
@@ -1,6 +1,6 @@
 //===- syncbenchmark.cpp - What a sync costs the loop ---------------------===//
 //
-// Appends 4 KB and syncs, by the kernel's AIO and by a blocking fdatasync.
+// Appends 4 KB and syncs, by the disk thread and by a blocking fdatasync.
 // "loop_us" is the time that the loop is held up by sync() and the delivery,
 // "durable_us" the time until the callback.
 //
--- a/src/framework/storage/filestorage.h
+++ b/src/framework/storage/filestorage.h
@@ -1,9 +1,8 @@
 //===- filestorage.h - A data folder on disk --------------------*- C++ -*-===//
 //
 // IStorage on one folder of the operating system. Files are only appended to
-// (O_APPEND, mode 0600); a sync is an fdatasync that the kernel runs by itself
-// (Linux AIO, IO_CMD_FDSYNC) and reports through an eventfd, so the loop goes
-// on meanwhile. Where the kernel lacks it, a sync blocks the loop.
+// (O_APPEND, mode 0600); a sync is an fdatasync on a thread of its own that
+// reports through an eventfd, so the loop goes on meanwhile.
 //
 // The loop watches completionFd() and calls onCompletionReady() when it is
 // readable.
@@ -24,7 +23,7 @@
 
 /// How syncs are carried out.
 enum class SyncMode {
-  Asynchronous, ///< By the kernel; falls back to Blocking if unsupported.
+  Asynchronous, ///< By the folder's disk thread.
   Blocking,     ///< By fdatasync on the loop.
 };
 
--- a/src/framework/storage/internal/syncqueue.cpp
+++ b/src/framework/storage/internal/syncqueue.cpp
@@ -1,25 +1,23 @@
 //===- syncqueue.cpp - Syncs under way ------------------------------------===//
 //
-// Linux AIO's IO_CMD_FDSYNC with completion by eventfd.
+// The disk thread and its hand-over to the loop.
 //
 //===----------------------------------------------------------------------===//
 
 #include "framework/storage/internal/syncqueue.h"
+
 #include "framework/storage/filestorage.h"
 
-#include <algorithm>
-#include <array>
 #include <cerrno>
+#include <csignal>
 #include <sys/eventfd.h>
 #include <system_error>
+#include <unistd.h>
 
 namespace geraniumbay {
 
 namespace {
 
-/// More syncs at once than this are carried out by blocking.
-constexpr int MaxRunning = 64;
-
 std::string errorText(int Number) {
   return std::generic_category().message(Number);
 }
@@ -32,71 +30,80 @@
   FileDescriptor EventFd(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
   if (!EventFd.valid())
     return fail(ErrorCode::Io, "eventfd: " + errorText(errno));
-  io_context_t Context = nullptr;
-  SyncMode Mode = Wanted;
-  if (Mode == SyncMode::Asynchronous && ::io_setup(MaxRunning, &Context) != 0)
-    Mode = SyncMode::Blocking;
-  return std::unique_ptr<SyncQueue>(
-      new SyncQueue(std::move(EventFd), Context, Mode));
+  return std::unique_ptr<SyncQueue>(new SyncQueue(std::move(EventFd), Wanted));
 }
 
-SyncQueue::SyncQueue(FileDescriptor EventFd, io_context_t Context,
-                     SyncMode Mode)
-    : EventFd_(std::move(EventFd)), Context_(Context), Mode_(Mode) {}
+SyncQueue::SyncQueue(FileDescriptor EventFd, SyncMode Mode)
+    : EventFd_(std::move(EventFd)), Mode_(Mode) {}
 
 SyncQueue::~SyncQueue() {
-  if (Context_)
-    ::io_destroy(Context_);
+  {
+    std::lock_guard<std::mutex> Hold(Lock_);
+    Stopping_ = true;
+  }
+  Changed_.notify_one();
+  if (Thread_.joinable())
+    Thread_.join();
 }
 
 void SyncQueue::submit(int Handle, std::shared_ptr<void> Owner,
                        IStorage::SyncCallback Done) {
-  Running_.emplace_back();
-  Request &Next = Running_.back();
-  Next.Owner = std::move(Owner);
-  Next.Done = std::move(Done);
-  if (Mode_ == SyncMode::Asynchronous && submitToKernel(Next, Handle))
-    return;
-  Next.ErrorNumber = syncBlocking(Handle);
-  Completed_.splice(Completed_.end(), Running_, std::prev(Running_.end()));
-  ::eventfd_write(EventFd_.get(), 1);
+  Requests Next;
+  Next.push_back({Handle, std::move(Owner), std::move(Done), 0});
+  if (Mode_ == SyncMode::Blocking) {
+    Next.front().ErrorNumber = syncBlocking(Handle);
+    return complete(Next);
+  }
+  if (!Thread_.joinable())
+    startThread();
+  {
+    std::lock_guard<std::mutex> Hold(Lock_);
+    Waiting_.splice(Waiting_.end(), Next);
+  }
+  Changed_.notify_one();
 }
 
-bool SyncQueue::submitToKernel(Request &Next, int Handle) {
-  ::io_prep_fdsync(&Next.Control, Handle);
-  ::io_set_eventfd(&Next.Control, EventFd_.get());
-  Next.Control.data = &Next;
-  iocb *Controls[] = {&Next.Control};
-  int Accepted = ::io_submit(Context_, 1, Controls);
-  // Busy (EAGAIN) concerns this sync; anything else holds for all of them.
-  if (Accepted != 1 && Accepted != -EAGAIN)
-    Mode_ = SyncMode::Blocking;
-  return Accepted == 1;
+void SyncQueue::startThread() {
+  // Signals belong to the loop: the thread inherits a mask that blocks all.
+  sigset_t All;
+  sigset_t Before;
+  sigfillset(&All);
+  pthread_sigmask(SIG_SETMASK, &All, &Before);
+  Thread_ = std::thread([this] { syncInTurn(); });
+  pthread_sigmask(SIG_SETMASK, &Before, nullptr);
 }
 
-void SyncQueue::collect() {
-  std::array<io_event, MaxRunning> Events{};
-  timespec AtOnce{0, 0};
-  int Count = 0;
-  if (Context_)
-    Count = ::io_getevents(Context_, 0, MaxRunning, Events.data(), &AtOnce);
-  for (int Index = 0; Index < Count; ++Index) {
-    auto *Ready = static_cast<Request *>(Events[Index].data);
-    auto Result = static_cast<long>(Events[Index].res);
-    Ready->ErrorNumber = Result < 0 ? static_cast<int>(-Result) : 0;
-    auto Place =
-        std::find_if(Running_.begin(), Running_.end(),
-                     [Ready](const Request &Entry) { return &Entry == Ready; });
-    Completed_.splice(Completed_.end(), Running_, Place);
+void SyncQueue::syncInTurn() {
+  Requests Current;
+  while (true) {
+    {
+      std::unique_lock<std::mutex> Hold(Lock_);
+      Changed_.wait(Hold, [this] { return Stopping_ || !Waiting_.empty(); });
+      if (Stopping_)
+        return;
+      Current.splice(Current.end(), Waiting_, Waiting_.begin());
+    }
+    Current.front().ErrorNumber = syncBlocking(Current.front().Handle);
+    complete(Current);
   }
 }
 
+void SyncQueue::complete(Requests &Finished) {
+  {
+    std::lock_guard<std::mutex> Hold(Lock_);
+    Completed_.splice(Completed_.end(), Finished);
+  }
+  ::eventfd_write(EventFd_.get(), 1);
+}
+
 void SyncQueue::deliver() {
   eventfd_t Count = 0;
   ::eventfd_read(EventFd_.get(), &Count);
-  collect();
   Requests Ready;
-  Ready.swap(Completed_);
+  {
+    std::lock_guard<std::mutex> Hold(Lock_);
+    Ready.swap(Completed_);
+  }
   for (Request &Next : Ready) {
     if (Next.ErrorNumber == 0)
       Next.Done(Done{});
--- a/src/framework/storage/internal/syncqueue.h
+++ b/src/framework/storage/internal/syncqueue.h
@@ -1,7 +1,8 @@
 //===- syncqueue.h - Syncs under way ----------------------------*- C++ -*-===//
 //
-// Carries out fdatasync without blocking the loop, by Linux AIO, and tells the
-// loop through an eventfd when one has completed.
+// Carries out fdatasync on a thread of its own, which does nothing else, and
+// tells the loop through an eventfd when one has completed. The thread holds no
+// state of the system: it gets a descriptor and gives back an error number.
 //
 //===----------------------------------------------------------------------===//
 
@@ -11,23 +12,25 @@
 #include "framework/storage/internal/filedescriptor.h"
 #include "framework/storage/istorage.h"
 
-#include <libaio.h>
+#include <condition_variable>
 #include <list>
 #include <memory>
+#include <mutex>
+#include <thread>
 
 namespace geraniumbay {
 
 enum class SyncMode;
 
-/// The syncs of one folder.
+/// The syncs of one folder, carried out in the order of submit().
 class SyncQueue {
 public:
-  /// Sets up the queue; a kernel without AIO gives a blocking one.
+  /// Sets up the queue; the thread starts with the first sync.
   static RetVal<std::unique_ptr<SyncQueue>> create(SyncMode Wanted);
 
   SyncQueue(const SyncQueue &) = delete;
   SyncQueue &operator=(const SyncQueue &) = delete;
-  /// Waits for the syncs under way; their callbacks are not called.
+  /// Waits for the sync under way; no callback is called any more.
   ~SyncQueue();
 
   /// Syncs the file \p Handle and calls \p Done from deliver(). \p Owner keeps
@@ -42,7 +45,7 @@
 
 private:
   struct Request {
-    iocb Control{};
+    int Handle = -1;
     std::shared_ptr<void> Owner;
     IStorage::SyncCallback Done;
     /// 0 or the error number, once it has completed.
@@ -50,18 +53,23 @@
   };
   using Requests = std::list<Request>;
 
-  SyncQueue(FileDescriptor EventFd, io_context_t Context, SyncMode Mode);
+  SyncQueue(FileDescriptor EventFd, SyncMode Mode);
 
-  bool submitToKernel(Request &Next, int Handle);
-  void collect();
+  void startThread();
+  void syncInTurn();
+  void complete(Requests &Finished);
 
   FileDescriptor EventFd_;
-  io_context_t Context_;
-  SyncMode Mode_;
-  /// Requests that the kernel works on; their addresses must not change.
-  Requests Running_;
-  /// Requests that have completed and wait for deliver().
+  const SyncMode Mode_;
+  std::mutex Lock_;
+  std::condition_variable Changed_;
+  /// Guarded by Lock_: requests that wait for the thread.
+  Requests Waiting_;
+  /// Guarded by Lock_: requests that wait for deliver().
   Requests Completed_;
+  /// Guarded by Lock_.
+  bool Stopping_ = false;
+  std::thread Thread_;
 };
 
 } // namespace geraniumbay
--- /dev/null
+++ b/src/jobs/ijobgateway.h
@@ -0,0 +1,68 @@
+//===- ijobgateway.h - Asking the leader about jobs -------------*- C++ -*-===//
+//
+// How an entry hands callers' requests to the control VM that leads, wherever
+// it is.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_IJOBGATEWAY_H
+#define GERANIUMBAY_JOBS_IJOBGATEWAY_H
+
+#include "jobs/jobtypes.h"
+
+#include <functional>
+
+namespace geraniumbay::jobs {
+
+/// What became of a request.
+enum class JobOutcome {
+  Accepted,  ///< The job is stored durably, now or earlier.
+  Known,     ///< The job's state or the queue's count is in the answer.
+  Cancelled, ///< The job is cancelled durably, or had ended.
+  NoQueue,   ///< No queue has this place.
+  NoJob,     ///< The leader is sure that there is no such job.
+  Invalid,   ///< The request makes no sense; Reason says why.
+  NotTaken,  ///< It certainly had no effect. Come back after RetryAfter.
+  Unknown,   ///< It may have had an effect; sending it again is harmless.
+};
+
+struct JobAnswer {
+  JobOutcome Outcome = JobOutcome::Unknown;
+  JobState State = JobState::Active;
+  /// Of an active job: a task has been started.
+  bool Begun = false;
+  /// Jobs of a queue that wait for their first start.
+  std::uint64_t Pending = 0;
+  Duration RetryAfter{0};
+  std::string Reason;
+};
+
+/// Where a request goes and how long its caller waits.
+struct JobRequest {
+  std::string Host;
+  std::string Path;
+  Duration Timeout{0};
+};
+
+class IJobGateway {
+public:
+  using Callback = std::function<void(const JobAnswer &)>;
+
+  virtual ~IJobGateway() = default;
+
+  virtual void submit(const JobRequest &Request, const JobSpec &Spec,
+                      Callback Done) = 0;
+  /// The state of the job at the request's path.
+  virtual void state(const JobRequest &Request, Callback Done) = 0;
+  virtual void cancel(const JobRequest &Request, Callback Done) = 0;
+  /// How many jobs wait in the queue at the request's path.
+  virtual void pending(const JobRequest &Request, Callback Done) = 0;
+  /// Whether a leader that can serve has answered lately.
+  virtual bool ready() const = 0;
+  /// Takes control VMs from changed settings beside those that are known.
+  virtual void addControlVms(const std::vector<Endpoint> &Found) = 0;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_IJOBGATEWAY_H
--- /dev/null
+++ b/src/jobs/internal/batcher.cpp
@@ -0,0 +1,71 @@
+//===- batcher.cpp - Changes on their way into the log --------------------===//
+//
+// One flush a turn of the loop, and a bounded number of batches under way.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/batcher.h"
+
+#include "jobs/internal/jobwire.h"
+
+#include <iterator>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+/// Batches under way at a time: one on the leader's disk and one on its way
+/// through the followers'. More would wait for the same disks.
+constexpr std::size_t MaxUnderWay = 2;
+
+template <typename T> void moveInto(std::vector<T> &Into, std::vector<T> From) {
+  Into.insert(Into.end(), std::make_move_iterator(From.begin()),
+              std::make_move_iterator(From.end()));
+}
+
+} // namespace
+
+Batcher::Batcher(control::IReplicatedLog &Log, ITimers &Timers)
+    : Log_(Log), Timers_(Timers) {}
+
+Batcher::~Batcher() {
+  *Alive_ = false;
+  for (const Callback &Run : Waiting_)
+    Run(Error{ErrorCode::Unavailable, "leadership was lost before the append"});
+}
+
+void Batcher::add(JobChanges Changes, Callback Committed) {
+  moveInto(Next_.Accepted, std::move(Changes.Accepted));
+  moveInto(Next_.Ended, std::move(Changes.Ended));
+  moveInto(Next_.Cancelled, std::move(Changes.Cancelled));
+  moveInto(Next_.Forgotten, std::move(Changes.Forgotten));
+  Waiting_.push_back(std::move(Committed));
+  if (Due_)
+    return;
+  Due_ = true;
+  Timers_.after(Duration::zero(), [this, Alive = Alive_] {
+    if (!*Alive)
+      return;
+    Due_ = false;
+    flush();
+  });
+}
+
+void Batcher::flush() {
+  if (Waiting_.empty() || UnderWay_ >= MaxUnderWay)
+    return;
+  ++UnderWay_;
+  std::string Batch = wire::writeChanges(std::exchange(Next_, JobChanges()));
+  Log_.append(std::move(Batch),
+              [this, Alive = Alive_, Callbacks = std::exchange(Waiting_, {})](
+                  const Outcome<Done> &Result) {
+                for (const Callback &Run : Callbacks)
+                  Run(Result);
+                if (!*Alive)
+                  return;
+                --UnderWay_;
+                flush();
+              });
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -0,0 +1,141 @@
+//===- jobcontrol.cpp - What workers and operators tell control -----------===//
+//
+// Announcements and the routing document, passed on to the leader.
+//
+//===----------------------------------------------------------------------===//
+
+#include "framework/log/log.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobservice.h"
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// Workers and operators ask another control VM after a second.
+constexpr Duration PassOnTimeout = std::chrono::milliseconds(900);
+/// Another operator's change may come first this often.
+constexpr int MaxTries = 8;
+
+std::function<void(Outcome<Json::Value>)>
+withoutValue(const IJobControl::Acknowledge &Acknowledged) {
+  return [Acknowledged](const Outcome<Json::Value> &Result) {
+    if (Result)
+      return Acknowledged(Done{});
+    Acknowledged(Result.error());
+  };
+}
+
+} // namespace
+
+void JobService::passOn(const char *Method, Json::Value Params, bool Forwarded,
+                        std::function<void(Outcome<Json::Value>)> Done) {
+  auto Leader = Needs_.Log.leaderAddress();
+  if (Forwarded || !Leader || Scheduler_)
+    return Done(Error{ErrorCode::Unavailable, "there is no leader now"});
+  Needs_.Client.call(*Leader, Method, std::move(Params), PassOnTimeout,
+                     std::move(Done));
+}
+
+void JobService::announceWorker(const WorkerInfo &Info, Acknowledge Done) {
+  takeAnnouncement(Info, false, Done);
+}
+
+void JobService::takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
+                                  const Acknowledge &Done) {
+  announce(Directory_, Info, Needs_.Clock.now());
+  if (serves()) {
+    Scheduler_->takeWorkers(Directory_);
+    return Done(geraniumbay::Done{});
+  }
+  Json::Value Params(Json::objectValue);
+  Params["worker"] = write(Info);
+  passOn(wire::method::Announce, std::move(Params), Forwarded,
+         withoutValue(Done));
+}
+
+void JobService::workerLeaves(const WorkerId &Worker, Acknowledge Done) {
+  takeLeave(Worker, false, Done);
+}
+
+void JobService::takeLeave(const WorkerId &Worker, bool Forwarded,
+                           const Acknowledge &Done) {
+  leave(Directory_, Worker);
+  if (serves()) {
+    Scheduler_->takeWorkers(Directory_);
+    return Done(geraniumbay::Done{});
+  }
+  Json::Value Params(Json::objectValue);
+  Params["worker"] = Worker.value();
+  passOn(wire::method::Leave, std::move(Params), Forwarded, withoutValue(Done));
+}
+
+void JobService::putRouting(const std::string &Document, Acknowledge Done) {
+  takeRouting(Document, false, Done);
+}
+
+void JobService::takeRouting(const std::string &Document, bool Forwarded,
+                             const Acknowledge &Done) {
+  auto Read = attempt([&] { return Reader_(Document); });
+  if (!Read) {
+    logEvent(LogLevel::Warning, Module, "routing_refused",
+             {{"reason", Read.error().Message}});
+    return Done(Read.error());
+  }
+  if (serves())
+    return proposeRouting(Document, Read->Version, MaxTries, Done);
+  Json::Value Params(Json::objectValue);
+  Params["document"] = Document;
+  passOn(wire::method::PutRouting, std::move(Params), Forwarded,
+         withoutValue(Done));
+}
+
+void JobService::proposeRouting(const std::string &Document,
+                                DocumentVersion Version, int Tries,
+                                const Acknowledge &Done) {
+  follow();
+  if (Version <= Routing_.Version)
+    return Done(geraniumbay::Done{});
+  control::ConfigChange Change;
+  ConfigVersion Base = Needs_.Log.configuration().Version;
+  Change.Operation = control::OperationId(
+      "document-" + std::to_string(Version.value()) + "-on-" +
+      std::to_string(Base.value()) + "-try-" + std::to_string(Tries) + "-at-" +
+      std::to_string(Needs_.Clock.now().time_since_epoch().count()));
+  Change.Base = Base;
+  Change.Document = Document;
+  Needs_.Log.change(
+      std::move(Change),
+      [this, Document, Version, Tries,
+       Done](const Outcome<control::ConfigAnswer> &Answer) {
+        if (!Answer)
+          return Done(Answer.error());
+        if (!Answer->Failure) {
+          logEvent(LogLevel::Info, Module, "routing_accepted",
+                   {{"document", Version.value()},
+                    {"configuration", Answer->Version}});
+          return Done(geraniumbay::Done{});
+        }
+        if (*Answer->Failure != ErrorCode::Conflict || Tries == 0)
+          return Done(Error{ErrorCode::Unavailable, "another change was first"});
+        proposeRouting(Document, Version, Tries - 1, Done);
+      });
+}
+
+void JobService::getRouting(std::function<void(Outcome<std::string>)> Done) {
+  if (serves())
+    return Done(Needs_.Log.configuration().Document);
+  passOn(wire::method::GetRouting, Json::Value(Json::objectValue), false,
+         [Done = std::move(Done)](const Outcome<Json::Value> &Result) {
+           if (!Result)
+             return Done(Result.error());
+           auto Document =
+               attempt([&] { return json::readString(*Result, "document"); });
+           if (!Document)
+             return Done(Document.error());
+           Done(*Document);
+         });
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/jobgateway.h
@@ -0,0 +1,67 @@
+//===- jobgateway.h - Asking the leader about jobs --------------*- C++ -*-===//
+//
+// Finds the leader among the control VMs and follows it. A request goes to
+// another control VM only when it certainly had no effect at the one before.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_JOBGATEWAY_H
+#define GERANIUMBAY_JOBS_INTERNAL_JOBGATEWAY_H
+
+#include "framework/clock/itimers.h"
+#include "framework/rpc/irpcclient.h"
+#include "jobs/ijobgateway.h"
+
+#include <memory>
+#include <optional>
+
+namespace geraniumbay::jobs {
+
+class JobGateway : public IJobGateway {
+public:
+  /// \p ControlVms are those that the settings name; others are learned. All
+  /// references outlive the gateway, which lives as long as the loop.
+  JobGateway(std::vector<Endpoint> ControlVms, IRpcClient &Client,
+             const IClock &Clock, ITimers &Timers);
+
+  void submit(const JobRequest &Request, const JobSpec &Spec,
+              Callback Done) override;
+  void state(const JobRequest &Request, Callback Done) override;
+  void cancel(const JobRequest &Request, Callback Done) override;
+  void pending(const JobRequest &Request, Callback Done) override;
+  bool ready() const override;
+
+  /// Looks for the leader from time to time; called once.
+  void start();
+  /// Takes control VMs from changed settings beside those that are known.
+  void addControlVms(const std::vector<Endpoint> &Found) override;
+
+private:
+  struct Ask;
+
+  void send(const char *Method, const JobRequest &Request, Json::Value Params,
+            Callback Done);
+  void attemptAsk(const std::shared_ptr<Ask> &What);
+  void answered(const std::shared_ptr<Ask> &What, const Endpoint &From,
+                const Outcome<Json::Value> &Result);
+  void tryAgain(const std::shared_ptr<Ask> &What);
+  void probe();
+  void probed(const Endpoint &From, const Outcome<Json::Value> &Result);
+  /// The leader if it is known, else the control VMs in turn.
+  Endpoint target();
+  void follow(const Json::Value &Result);
+  void lost(const Endpoint &At, const char *Reason);
+
+  std::vector<Endpoint> ControlVms_;
+  IRpcClient &Client_;
+  const IClock &Clock_;
+  ITimers &Timers_;
+  std::optional<Endpoint> Leader_;
+  std::size_t NextVm_ = 0;
+  /// When a leader last said that it can serve.
+  std::optional<Time> ReadyAt_;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_JOBGATEWAY_H
--- /dev/null
+++ b/src/jobs/internal/jobmessages.cpp
@@ -0,0 +1,45 @@
+//===- jobmessages.cpp - Messages between entries and control -------------===//
+//
+// The JSON form of an answer.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/jobmessages.h"
+
+namespace geraniumbay::jobs::wire {
+
+Json::Value write(const JobAnswer &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["outcome"] = static_cast<int>(Value.Outcome);
+  if (Value.State != JobState::Active)
+    Result["state"] = static_cast<int>(Value.State);
+  if (Value.Begun)
+    Result["begun"] = true;
+  if (Value.Pending != 0)
+    Result["pending"] = Json::UInt64(Value.Pending);
+  if (Value.RetryAfter.count() != 0)
+    Result["retry_us"] = Json::Int64(Value.RetryAfter.count());
+  if (!Value.Reason.empty())
+    Result["reason"] = Value.Reason;
+  return Result;
+}
+
+RetVal<JobAnswer> readAnswer(const Json::Value &From) {
+  JobAnswer Result;
+  BOOST_LEAF_AUTO(Outcome, json::readUint(From, "outcome"));
+  if (Outcome > static_cast<std::uint64_t>(JobOutcome::Unknown))
+    return fail(ErrorCode::InvalidArgument, "unknown outcome");
+  Result.Outcome = static_cast<JobOutcome>(Outcome);
+  BOOST_LEAF_AUTO(State, json::readUintOr(From, "state", 0));
+  if (State > static_cast<std::uint64_t>(JobState::Cancelled))
+    return fail(ErrorCode::InvalidArgument, "unknown state");
+  Result.State = static_cast<JobState>(State);
+  BOOST_LEAF_ASSIGN(Result.Begun, json::readBoolOr(From, "begun", false));
+  BOOST_LEAF_ASSIGN(Result.Pending, json::readUintOr(From, "pending", 0));
+  BOOST_LEAF_AUTO(Retry, json::readUintOr(From, "retry_us", 0));
+  Result.RetryAfter = Duration(static_cast<Duration::rep>(Retry));
+  BOOST_LEAF_ASSIGN(Result.Reason, json::readStringOr(From, "reason", ""));
+  return Result;
+}
+
+} // namespace geraniumbay::jobs::wire
--- /dev/null
+++ b/src/jobs/internal/jobmessages.h
@@ -0,0 +1,48 @@
+//===- jobmessages.h - Messages between entries and control -----*- C++ -*-===//
+//
+// Names of the methods that control VMs offer for jobs, and the JSON forms of
+// their messages.
+//
+//   jobs.submit  {host, path, job} -> answer
+//   jobs.state   {host, path} -> answer
+//   jobs.cancel  {host, path} -> answer
+//   jobs.pending {host, path} -> answer
+//   jobs.leader  {} -> {leader, ready, members}
+//   workers.announce {worker} and workers.leave {worker} -> {}
+//     passed on to the leader, and acknowledged once the leader has it
+//   workers.share {workers, left} -> {}: from the leader to the others
+//   routing.put  {document} -> {}; routing.get {} -> {document}
+//     passed on to the leader
+//
+// A control VM that does not lead answers the jobs methods with {leader}, which
+// is empty while it knows none.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_JOBMESSAGES_H
+#define GERANIUMBAY_JOBS_INTERNAL_JOBMESSAGES_H
+
+#include "framework/json/json.h"
+#include "jobs/ijobgateway.h"
+
+namespace geraniumbay::jobs::wire {
+
+namespace method {
+constexpr const char *Submit = "jobs.submit";
+constexpr const char *State = "jobs.state";
+constexpr const char *Cancel = "jobs.cancel";
+constexpr const char *Pending = "jobs.pending";
+constexpr const char *Leader = "jobs.leader";
+constexpr const char *Announce = "workers.announce";
+constexpr const char *Leave = "workers.leave";
+constexpr const char *Share = "workers.share";
+constexpr const char *PutRouting = "routing.put";
+constexpr const char *GetRouting = "routing.get";
+} // namespace method
+
+Json::Value write(const JobAnswer &Value);
+RetVal<JobAnswer> readAnswer(const Json::Value &From);
+
+} // namespace geraniumbay::jobs::wire
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_JOBMESSAGES_H
--- /dev/null
+++ b/src/jobs/internal/jobservice.cpp
@@ -0,0 +1,360 @@
+//===- jobservice.cpp - Jobs on a control VM ------------------------------===//
+//
+// Leadership, and the requests of entries.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/jobservice.h"
+
+#include "framework/log/log.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// How often the leader tells the others which workers there are: a new leader
+/// then knows them before they announce themselves again.
+constexpr Duration ShareInterval = std::chrono::seconds(1);
+/// What callers wait when a leader is just taking over.
+constexpr Duration RetryAfterChange = std::chrono::milliseconds(500);
+
+/// How long a transient job may wait for its start if its entry does not say.
+constexpr Duration UsualPatience = std::chrono::seconds(1);
+
+/// A request of an entry.
+struct Place {
+  std::string Host;
+  std::string Path;
+};
+
+RetVal<Place> readPlace(const Json::Value &Params) {
+  Place Result;
+  BOOST_LEAF_ASSIGN(Result.Host, json::readString(Params, "host"));
+  BOOST_LEAF_ASSIGN(Result.Path, json::readString(Params, "path"));
+  return Result;
+}
+
+JobAnswer outcome(JobOutcome What, std::string Reason = "") {
+  JobAnswer Result;
+  Result.Outcome = What;
+  Result.Reason = std::move(Reason);
+  return Result;
+}
+
+/// The answer to a change that the log did not confirm.
+JobAnswer unconfirmed(const Error &Why) {
+  if (Why.Code != ErrorCode::Unavailable)
+    return outcome(JobOutcome::Unknown, Why.Message);
+  JobAnswer Result = outcome(JobOutcome::NotTaken, Why.Message);
+  Result.RetryAfter = RetryAfterChange;
+  return Result;
+}
+
+/// The answer to callers that waited for a transient job. One that was
+/// cancelled had not begun.
+JobAnswer endOf(JobState Ended) {
+  if (Ended == JobState::Cancelled) {
+    JobAnswer Result = outcome(JobOutcome::NotTaken, "no worker was free");
+    Result.RetryAfter = RetryAfterChange;
+    return Result;
+  }
+  JobAnswer Result = outcome(JobOutcome::Known);
+  Result.State = Ended;
+  return Result;
+}
+
+Job newJob(const QueueMatch &Where, JobSpec Spec) {
+  const Queue &In = *Where.Found;
+  Job Result;
+  Result.Id = JobId(Where.Rest);
+  Result.Place = In.Place;
+  Result.Queue = In.Name;
+  Result.Service = In.Service;
+  Result.Priority = In.Priority;
+  Result.MaxFailures = In.MaxFailures;
+  Result.Spec = std::move(Spec);
+  return Result;
+}
+
+} // namespace
+
+JobService::JobService(JobServiceNeeds Needs, RoutingReader Reader,
+                       LeaseSettings Lease)
+    : Needs_(Needs), Reader_(std::move(Reader)), Lease_(Lease) {}
+
+void JobService::start() {
+  offerMethods();
+  Needs_.Log.onChanged([this] { follow(); });
+  follow();
+  tick();
+  shareWorkers();
+}
+
+void JobService::offerMethods() {
+  auto Offer = [this](const char *Name, auto Member) {
+    Needs_.Server.method(
+        Name, [this, Member](const Json::Value &Params, const Reply &Answer) {
+          (this->*Member)(Params, Answer);
+        });
+  };
+  Offer(wire::method::Submit, &JobService::submit);
+  Offer(wire::method::State, &JobService::state);
+  Offer(wire::method::Cancel, &JobService::cancel);
+  Offer(wire::method::Pending, &JobService::pending);
+  Offer(wire::method::Share, &JobService::takeShared);
+  Needs_.Server.method(wire::method::Leader,
+                       [this](const Json::Value & /*Params*/,
+                              const Reply &Answer) { tellLeader(Answer); });
+  auto Acknowledged = [](const Reply &Answer) {
+    return [Answer](const Outcome<Done> &Was) {
+      if (Was)
+        return Answer(Json::Value(Json::objectValue));
+      Answer(Was.error());
+    };
+  };
+  Needs_.Server.method(
+      wire::method::Announce,
+      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
+        auto Info = attempt([&] { return readWorker(Params["worker"]); });
+        if (!Info)
+          return Answer(Info.error());
+        takeAnnouncement(*Info, true, Acknowledged(Answer));
+      });
+  Needs_.Server.method(
+      wire::method::Leave,
+      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
+        auto Worker =
+            attempt([&] { return json::readString(Params, "worker"); });
+        if (!Worker)
+          return Answer(Worker.error());
+        takeLeave(WorkerId(*Worker), true, Acknowledged(Answer));
+      });
+  Needs_.Server.method(
+      wire::method::PutRouting,
+      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
+        auto Document =
+            attempt([&] { return json::readString(Params, "document"); });
+        if (!Document)
+          return Answer(Document.error());
+        takeRouting(*Document, true, Acknowledged(Answer));
+      });
+  Needs_.Server.method(
+      wire::method::GetRouting,
+      [this](const Json::Value & /*Params*/, const Reply &Answer) {
+        if (!serves())
+          return Answer(Error{ErrorCode::Unavailable, "not the leader"});
+        Json::Value Result(Json::objectValue);
+        Result["document"] = Needs_.Log.configuration().Document;
+        Answer(std::move(Result));
+      });
+}
+
+void JobService::follow() {
+  const control::ConfigSnapshot &Now = Needs_.Log.configuration();
+  if (Now.Version != RoutingFrom_) {
+    RoutingFrom_ = Now.Version;
+    auto Read = attempt([&] { return Reader_(Now.Document); });
+    if (Read)
+      Routing_ = std::move(*Read);
+    logEvent(Read ? LogLevel::Info : LogLevel::Error, Module,
+             "routing_in_force",
+             {{"configuration", Now.Version},
+              {"document", Routing_.Version.value()},
+              {"queues", Routing_.Queues.size()},
+              {"reason", Read ? "" : Read.error().Message.c_str()}});
+  }
+  auto Term = Needs_.Log.leadsIn();
+  if (Scheduler_ && Term == Scheduler_->term())
+    return;
+  if (Scheduler_)
+    logEvent(LogLevel::Warning, Module, "leads_no_more",
+             {{"term", Scheduler_->term().value()}});
+  Scheduler_.reset();
+  if (!Term)
+    return;
+  Scheduler_ = std::make_unique<Scheduler>(
+      SchedulerNeeds{Needs_.Log, Needs_.Store, Needs_.Workers, Needs_.Clock,
+                     Needs_.Timers, Needs_.Measured},
+      *Term, Lease_);
+  Scheduler_->takeWorkers(Directory_);
+}
+
+void JobService::tick() {
+  dropSilent(Directory_, Needs_.Clock.now());
+  if (Scheduler_)
+    Scheduler_->takeWorkers(Directory_);
+  Needs_.Timers.after(TickInterval, [this] { tick(); });
+}
+
+Json::Value JobService::redirection() const {
+  Json::Value Result(Json::objectValue);
+  auto Leader = Scheduler_ ? std::nullopt : Needs_.Log.leaderAddress();
+  Result["leader"] = Leader ? Leader->text() : "";
+  return Result;
+}
+
+void JobService::tellLeader(const Reply &Answer) const {
+  Json::Value Result = redirection();
+  Result["ready"] = serves() && !Stopping_;
+  for (const Endpoint &Member : Needs_.Log.memberAddresses())
+    Result["members"].append(Member.text());
+  Answer(std::move(Result));
+}
+
+void JobService::submit(const Json::Value &Params, const Reply &Answer) {
+  if (!serves() || Stopping_)
+    return Answer(redirection());
+  auto At = attempt([&] { return readPlace(Params); });
+  auto Spec = attempt([&] { return wire::readSpec(Params["job"]); });
+  if (!At || !Spec)
+    return Answer(
+        wire::write(outcome(JobOutcome::Invalid, "malformed message")));
+  QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
+  if (!Where.Found)
+    return Answer(wire::write(outcome(JobOutcome::NoQueue)));
+  if (Spec->Transient)
+    return runTransient(newJob(Where, std::move(*Spec)), Params, Answer);
+  if (findJob(Needs_.Store, JobId(Where.Rest)))
+    return Answer(wire::write(outcome(JobOutcome::Accepted)));
+  Time Began = Needs_.Clock.now();
+  JobId Id(Where.Rest);
+  Scheduler_->accept(
+      newJob(Where, std::move(*Spec)),
+      [this, Answer, Id, Began](const Outcome<Done> &Was) {
+        Needs_.Measured.observe("geraniumbay_job_accept_seconds",
+                                "From a submission to its commit.", {},
+                                Needs_.Clock.now() - Began);
+        logEvent(LogLevel::Info, Module, "job_submitted",
+                 {{"job", Id},
+                  {"outcome", Was ? "accepted" : errorCodeName(Was.error().Code)},
+                  {"commit_us", (Needs_.Clock.now() - Began).count()}});
+        Answer(wire::write(Was ? outcome(JobOutcome::Accepted)
+                               : unconfirmed(Was.error())));
+      });
+}
+
+void JobService::runTransient(Job New, const Json::Value &Params,
+                              const Reply &Answer) {
+  auto Left = attempt([&] { return json::readUintOr(Params, "left_us", 0); });
+  Duration Patience =
+      Left && *Left != 0 ? Duration(static_cast<Duration::rep>(*Left))
+                         : UsualPatience;
+  Time Began = Needs_.Clock.now();
+  JobId Id = New.Id;
+  Scheduler_->run(
+      std::move(New), Patience,
+      [this, Answer, Id, Began](const Outcome<JobState> &Ended) {
+        Duration Took = Needs_.Clock.now() - Began;
+        Needs_.Measured.observe("geraniumbay_transient_job_seconds",
+                                "From a submission to its end.", {}, Took);
+        logEvent(LogLevel::Info, Module, "job_answered",
+                 {{"job", Id}, {"ok", Ended.ok()}, {"took_us", Took.count()}});
+        if (!Ended)
+          return Answer(redirection());
+        Answer(wire::write(endOf(*Ended)));
+      });
+}
+
+void JobService::state(const Json::Value &Params, const Reply &Answer) {
+  if (!serves())
+    return Answer(redirection());
+  auto At = attempt([&] { return readPlace(Params); });
+  if (!At)
+    return Answer(
+        wire::write(outcome(JobOutcome::Invalid, "malformed message")));
+  QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
+  if (!Where.Found)
+    return Answer(wire::write(outcome(JobOutcome::NoQueue)));
+  const Job *Found = findJob(Needs_.Store, JobId(Where.Rest));
+  JobAnswer Result = outcome(Found ? JobOutcome::Known : JobOutcome::NoJob);
+  if (Found) {
+    Result.State = Found->State;
+    Result.Begun = Scheduler_->hasBegun(Found->Id);
+  }
+  Answer(wire::write(Result));
+}
+
+void JobService::cancel(const Json::Value &Params, const Reply &Answer) {
+  if (!serves() || Stopping_)
+    return Answer(redirection());
+  auto At = attempt([&] { return readPlace(Params); });
+  if (!At)
+    return Answer(
+        wire::write(outcome(JobOutcome::Invalid, "malformed message")));
+  QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
+  if (!Where.Found)
+    return Answer(wire::write(outcome(JobOutcome::NoQueue)));
+  const Job *Found = findJob(Needs_.Store, JobId(Where.Rest));
+  if (!Found)
+    return Answer(wire::write(outcome(JobOutcome::NoJob)));
+  if (Found->State != JobState::Active)
+    return Answer(wire::write(outcome(JobOutcome::Cancelled)));
+  Scheduler_->cancel(Found->Id, [Answer](const Outcome<Done> &Was) {
+    Answer(wire::write(Was ? outcome(JobOutcome::Cancelled)
+                           : unconfirmed(Was.error())));
+  });
+}
+
+void JobService::pending(const Json::Value &Params, const Reply &Answer) {
+  if (!serves())
+    return Answer(redirection());
+  auto At = attempt([&] { return readPlace(Params); });
+  if (!At)
+    return Answer(
+        wire::write(outcome(JobOutcome::Invalid, "malformed message")));
+  QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
+  JobAnswer Result =
+      outcome(Where.Found ? JobOutcome::Known : JobOutcome::NoQueue);
+  if (Where.Found)
+    Result.Pending = Scheduler_->pending(Where.Found->Name);
+  Answer(wire::write(Result));
+}
+
+void JobService::prepareStop(std::function<void()> Done) {
+  if (!Scheduler_)
+    return Done();
+  if (!Stopping_)
+    logEvent(LogLevel::Info, Module, "hands_over",
+             {{"term", Scheduler_->term().value()}});
+  Stopping_ = true;
+  Needs_.Log.handOver();
+  // What is under way is committed first, so it may take a few tries.
+  constexpr Duration TryAgain = std::chrono::milliseconds(10);
+  Needs_.Timers.after(TryAgain, [this, Done = std::move(Done)] {
+    prepareStop(Done);
+  });
+}
+
+void JobService::shareWorkers() {
+  if (Scheduler_) {
+    Json::Value Params(Json::objectValue);
+    for (const auto &[Id, Known] : Directory_.Workers)
+      Params["workers"].append(write(Known.Info));
+    auto Own = Needs_.Log.leaderAddress();
+    for (const Endpoint &Member : Needs_.Log.memberAddresses())
+      if (Member != Own)
+        Needs_.Client.call(Member, wire::method::Share, Params, ShareInterval,
+                           [](const Outcome<Json::Value> & /*Result*/) {
+                             // The next one comes in a second.
+                           });
+  }
+  Needs_.Timers.after(ShareInterval, [this] { shareWorkers(); });
+}
+
+void JobService::takeShared(const Json::Value &Params, const Reply &Answer) {
+  auto Workers = attempt([&] { return json::readArray(Params, "workers"); });
+  if (!Workers)
+    return Answer(Workers.error());
+  for (const Json::Value &Each : *Workers) {
+    auto Info = attempt([&] { return readWorker(Each); });
+    if (Info)
+      announce(Directory_, *Info, Needs_.Clock.now());
+  }
+  Answer(Json::Value(Json::objectValue));
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/jobservice.h
@@ -0,0 +1,92 @@
+//===- jobservice.h - Jobs on a control VM ----------------------*- C++ -*-===//
+//
+// Answers entries and workers on a control VM. While this VM leads it has a
+// scheduler; otherwise it points to the leader, or passes the message on.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_JOBSERVICE_H
+#define GERANIUMBAY_JOBS_INTERNAL_JOBSERVICE_H
+
+#include "framework/rpc/irpcclient.h"
+#include "framework/rpc/irpcserver.h"
+#include "jobs/ijobcontrol.h"
+#include "jobs/internal/scheduler.h"
+#include "jobs/routing.h"
+
+namespace geraniumbay::jobs {
+
+/// What the service works with; all of it outlives the service.
+struct JobServiceNeeds {
+  control::IReplicatedLog &Log;
+  const JobStore &Store;
+  IWorkerCalls &Workers;
+  const IClock &Clock;
+  ITimers &Timers;
+  Metrics &Measured;
+  IRpcServer &Server;
+  IRpcClient &Client;
+};
+
+class JobService : public IJobControl {
+public:
+  JobService(JobServiceNeeds Needs, RoutingReader Reader, LeaseSettings Lease);
+
+  /// Offers the methods and starts to follow the leadership; called once.
+  void start();
+
+  void announceWorker(const WorkerInfo &Info, Acknowledge Done) override;
+  void workerLeaves(const WorkerId &Worker, Acknowledge Done) override;
+  void putRouting(const std::string &Document, Acknowledge Done) override;
+  void getRouting(std::function<void(Outcome<std::string>)> Done) override;
+  std::optional<Endpoint> leader() const override {
+    return Needs_.Log.leaderAddress();
+  }
+  void prepareStop(std::function<void()> Done) override;
+
+private:
+  using Reply = IRpcServer::Reply;
+
+  void offerMethods();
+  /// Starts or ends the scheduler as the leadership and the routing change.
+  void follow();
+  void tick();
+  void shareWorkers();
+  void takeShared(const Json::Value &Params, const Reply &Answer);
+  Json::Value redirection() const;
+  bool serves() const { return Scheduler_ && Needs_.Log.holdsLease(); }
+
+  // Entries.
+  void submit(const Json::Value &Params, const Reply &Answer);
+  void runTransient(Job New, const Json::Value &Params, const Reply &Answer);
+  void state(const Json::Value &Params, const Reply &Answer);
+  void cancel(const Json::Value &Params, const Reply &Answer);
+  void pending(const Json::Value &Params, const Reply &Answer);
+  void tellLeader(const Reply &Answer) const;
+
+  // Passed on to the leader. Forwarded messages are not passed on again.
+  void passOn(const char *Method, Json::Value Params, bool Forwarded,
+              std::function<void(Outcome<Json::Value>)> Done);
+  void takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
+                        const Acknowledge &Done);
+  void takeLeave(const WorkerId &Worker, bool Forwarded,
+                 const Acknowledge &Done);
+  void takeRouting(const std::string &Document, bool Forwarded,
+                   const Acknowledge &Done);
+  void proposeRouting(const std::string &Document, DocumentVersion Version,
+                      int Tries, const Acknowledge &Done);
+
+  const JobServiceNeeds Needs_;
+  const RoutingReader Reader_;
+  const LeaseSettings Lease_;
+  std::unique_ptr<Scheduler> Scheduler_;
+  WorkerDirectory Directory_;
+  Routing Routing_;
+  /// The version of the configuration that Routing_ was read from.
+  ConfigVersion RoutingFrom_;
+  bool Stopping_ = false;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_JOBSERVICE_H
--- /dev/null
+++ b/src/jobs/internal/jobstore.cpp
@@ -0,0 +1,132 @@
+//===- jobstore.cpp - The replicated record of jobs -----------------------===//
+//
+// Applying committed changes.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/jobstore.h"
+
+#include "framework/log/log.h"
+#include "jobs/internal/jobwire.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+
+/// Ends a job; what only an active one needs is given back.
+void settle(Job &Ended, JobState State) {
+  Ended.State = State;
+  Ended.Tasks.clear();
+  Ended.Spec = JobSpec();
+}
+
+bool isDone(const std::vector<TaskRecord> &Step) {
+  return std::all_of(Step.begin(), Step.end(),
+                     [](const TaskRecord &Task) { return Task.Done; });
+}
+
+void accept(JobStore &Store, const Job &New) {
+  auto [Place, Fresh] = Store.Jobs.try_emplace(New.Id, New);
+  if (!Fresh)
+    return;
+  Job &Added = Place->second;
+  Added.State = JobState::Active;
+  Added.Tasks.clear();
+  for (const StepSpec &Step : Added.Spec.Steps)
+    Added.Tasks.emplace_back(Step.Count);
+}
+
+TaskRecord *recordOf(Job &Of, const TaskId &Id) {
+  if (Of.State != JobState::Active || Id.Step >= Of.Tasks.size() ||
+      Id.Index >= Of.Tasks[Id.Step].size())
+    return nullptr;
+  return &Of.Tasks[Id.Step][Id.Index];
+}
+
+void end(JobStore &Store, const TaskEnd &End) {
+  auto Found = Store.Jobs.find(End.Task.Job);
+  if (Found == Store.Jobs.end())
+    return;
+  Job &Of = Found->second;
+  TaskRecord *Task = recordOf(Of, End.Task);
+  if (!Task || Task->Done || End.Run <= Task->LastEnded)
+    return;
+  Task->LastEnded = End.Run;
+  if (End.Succeeded) {
+    Task->Done = true;
+    if (std::all_of(Of.Tasks.begin(), Of.Tasks.end(), isDone))
+      settle(Of, JobState::Completed);
+    return;
+  }
+  ++Task->Failures;
+  if (Task->Failures >= Of.MaxFailures)
+    settle(Of, JobState::Failed);
+}
+
+void cancel(JobStore &Store, const JobId &Id) {
+  auto Found = Store.Jobs.find(Id);
+  if (Found != Store.Jobs.end() && Found->second.State == JobState::Active)
+    settle(Found->second, JobState::Cancelled);
+}
+
+} // namespace
+
+void apply(JobStore &Store, const JobChanges &Changes) {
+  for (const Job &New : Changes.Accepted)
+    accept(Store, New);
+  for (const TaskEnd &End : Changes.Ended)
+    end(Store, End);
+  for (const JobId &Id : Changes.Cancelled)
+    cancel(Store, Id);
+  for (const JobId &Id : Changes.Forgotten)
+    Store.Jobs.erase(Id);
+}
+
+const Job *findJob(const JobStore &Store, const JobId &Id) {
+  auto Found = Store.Jobs.find(Id);
+  return Found == Store.Jobs.end() ? nullptr : &Found->second;
+}
+
+const TaskRecord *findTask(const JobStore &Store, const TaskId &Id) {
+  const Job *Of = findJob(Store, Id.Job);
+  if (!Of || Of->State != JobState::Active || Id.Step >= Of->Tasks.size() ||
+      Id.Index >= Of->Tasks[Id.Step].size())
+    return nullptr;
+  return &Of->Tasks[Id.Step][Id.Index];
+}
+
+bool dependenciesDone(const Job &Of, std::uint32_t Step) {
+  const std::vector<std::uint32_t> &Needed = Of.Spec.Steps[Step].DependsOn;
+  return std::all_of(Needed.begin(), Needed.end(), [&](std::uint32_t Earlier) {
+    return isDone(Of.Tasks[Earlier]);
+  });
+}
+
+void ReplicatedJobs::apply(const std::string &Batch) {
+  auto Changes = attempt([&] { return wire::readChanges(Batch); });
+  if (!Changes) {
+    logEvent(LogLevel::Error, Module, "batch_unreadable",
+             {{"reason", Changes.error().Message}});
+    return;
+  }
+  jobs::apply(Store_, *Changes);
+}
+
+std::string ReplicatedJobs::snapshot() const {
+  return wire::writeStore(Store_);
+}
+
+Ret ReplicatedJobs::restore(const std::string &Snapshot) {
+  if (Snapshot.empty()) {
+    Store_ = JobStore();
+    return {};
+  }
+  BOOST_LEAF_ASSIGN(Store_, wire::readStore(Snapshot));
+  return {};
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/placement.cpp
@@ -0,0 +1,185 @@
+//===- placement.cpp - Which task starts where ----------------------------===//
+//
+// Takes waiting tasks in their order and gives each the worker that it fills
+// best, so that large tasks find room later.
+//
+//===----------------------------------------------------------------------===//
+
+#include "framework/log/log.h"
+#include "jobs/internal/scheduler.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// Waiting tasks that are looked at in one pass after the first that found no
+/// room: smaller ones may still fit.
+constexpr std::size_t MaxSkipped = 64;
+/// A worker that refused a task is left alone for this long: about the time in
+/// which it ends a task.
+constexpr Duration RestAfterRefusal = std::chrono::milliseconds(100);
+/// The first run of a task that another leader may have started is numbered
+/// from its term, so that it is above all numbers of earlier leaders.
+constexpr std::uint64_t RunsPerTerm = 1000;
+
+bool carries(const WorkerInfo &Info, const std::string &Label) {
+  return Label.empty() || std::find(Info.Labels.begin(), Info.Labels.end(),
+                                    Label) != Info.Labels.end();
+}
+
+std::uint32_t runsOfStep(const WorkerSession &On, const TaskId &Like) {
+  std::uint32_t Count = 0;
+  for (const auto &[Task, Each] : On.Runs)
+    if (Task.Job == Like.Job && Task.Step == Like.Step)
+      ++Count;
+  return Count;
+}
+
+bool suits(const WorkerSession &On, const StepSpec &Step, const TaskId &Id) {
+  if (!carries(On.Info, Step.RequiredLabel))
+    return false;
+  return Step.MaxPerWorker == 0 || runsOfStep(On, Id) < Step.MaxPerWorker;
+}
+
+} // namespace
+
+void Scheduler::scheduleSoon() {
+  if (ScheduleDue_ || Queue_.empty())
+    return;
+  ScheduleDue_ = true;
+  Needs_.Timers.after(Duration::zero(), [this, Alive = Alive_] {
+    if (!*Alive)
+      return;
+    ScheduleDue_ = false;
+    schedule();
+  });
+}
+
+void Scheduler::schedule() {
+  if (!Needs_.Log.holdsLease())
+    return;
+  Time Now = Needs_.Clock.now();
+  std::size_t Skipped = 0;
+  for (auto It = Queue_.begin(); It != Queue_.end() && Skipped < MaxSkipped;) {
+    if (!taskOf(It->second.Id)) {
+      // Its job has just ended; committed() has yet to hear of it.
+      Ranks_.erase(It->second.Id);
+      It = Queue_.erase(It);
+      continue;
+    }
+    WorkerSession *On = bestWorker(It->second, Now);
+    if (!On) {
+      ++Skipped;
+      ++It;
+      continue;
+    }
+    WaitingTask Task = std::move(It->second);
+    It = Queue_.erase(It);
+    Ranks_.erase(Task.Id);
+    start(*On, Task);
+  }
+}
+
+WorkerSession *Scheduler::bestWorker(const WaitingTask &Task, Time Now) {
+  const StepSpec &Step =
+      jobOf(Task.Id.Job)->Spec.Steps[Task.Id.Step];
+  WorkerSession *Best = nullptr;
+  std::uint32_t LeastLeft = UINT32_MAX;
+  for (auto &[Id, Each] : Sessions_) {
+    if (!Each.Known || Each.Silent || Each.Info.Draining ||
+        Each.RestUntil > Now || Each.Info.Service != Task.Service ||
+        !hasRoom(Each, Task.Needs) || !suits(Each, Step, Task.Id))
+      continue;
+    std::uint32_t Left = Each.Info.Capacity.CpuMillis - Each.Used.CpuMillis -
+                         Task.Needs.CpuMillis;
+    if (Best && Left >= LeastLeft)
+      continue;
+    Best = &Each;
+    LeastLeft = Left;
+  }
+  return Best;
+}
+
+RunNumber Scheduler::nextRun(const Job &Of, const TaskId &Task) {
+  std::uint64_t First =
+      Of.AcceptedIn == Term_ ? 1 : Term_.value() * RunsPerTerm + 1;
+  std::uint64_t Recorded = taskOf(Task)->LastEnded.value();
+  RunNumber &Last = LastRuns_[Task];
+  Last = RunNumber(std::max({Last.value() + 1, First, Recorded + 1}));
+  return Last;
+}
+
+void Scheduler::start(WorkerSession &On, const WaitingTask &Task) {
+  const Job &Of = *jobOf(Task.Id.Job);
+  Time Now = Needs_.Clock.now();
+  StartOrder Order;
+  Order.Task = Task.Id;
+  Order.Run = nextRun(Of, Task.Id);
+  Order.Payload = Of.Spec.Payload;
+  Order.LeaseUntil = leaseUntil(On, Lease_, Now);
+  Order.Token = Term_;
+  noteLease(On, Lease_, Now);
+  addRun(On, Task.Id,
+         Run{Order.Run, Task.Needs, Now, false, false, Order.LeaseUntil});
+  Places_[Task.Id] = On.Info.Worker;
+  Begun_.insert(Task.Id.Job);
+  logEvent(LogLevel::Info, Module, "task_ordered",
+           {{"job", Task.Id.Job},
+            {"step", Task.Id.Step},
+            {"index", Task.Id.Index},
+            {"run", Order.Run.value()},
+            {"worker", On.Info.Worker},
+            {"term", Term_.value()}});
+  Needs_.Workers.start({On.Info.Worker, On.Info.At}, Order,
+                       [this, Alive = Alive_, Worker = On.Info.Worker,
+                        Id = Task.Id, Number = Order.Run](StartAnswer Answer) {
+                         if (*Alive)
+                           started(Worker, Id, Number, Answer);
+                       });
+}
+
+void Scheduler::started(const WorkerId &Worker, const TaskId &Task,
+                        RunNumber Number, const StartAnswer &Answer) {
+  Needs_.Measured.count("geraniumbay_starts_total",
+                        "Orders to start a task, by what came of them.",
+                        {{"result", startResultName(Answer.Result)}});
+  WorkerSession *On = session(Worker);
+  if (!On)
+    return;
+  if (Answer.Result == StartResult::Gone)
+    return dropWorker(Worker, "another incarnation answered");
+  auto Found = On->Runs.find(Task);
+  if (Found == On->Runs.end() || Found->second.Number != Number)
+    return;
+  if (Answer.Result == StartResult::Started) {
+    Found->second.Confirmed = true;
+    if (Answer.Clock)
+      Found->second.ShownAfter = *Answer.Clock;
+    return;
+  }
+  logEvent(LogLevel::Warning, Module, "start_failed",
+           {{"job", Task.Job},
+            {"step", Task.Step},
+            {"index", Task.Index},
+            {"run", Number.value()},
+            {"worker", Worker},
+            {"result", startResultName(Answer.Result)}});
+  if (Answer.Result == StartResult::Unknown) {
+    // A stop that arrives first makes the worker refuse the start later.
+    Needs_.Workers.stop({Worker, On->Info.At}, {Task, Number, Term_});
+    return;
+  }
+  Time Now = Needs_.Clock.now();
+  if (Answer.Result != StartResult::Late &&
+      Answer.Result != StartResult::OutOfOrder)
+    On->RestUntil = Now + RestAfterRefusal;
+  removeRun(*On, Task);
+  Places_.erase(Task);
+  enqueue(Task);
+  scheduleSoon();
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/scheduler.cpp
@@ -0,0 +1,251 @@
+//===- scheduler.cpp - One leader's term of scheduling --------------------===//
+//
+// Jobs: their way into the log, their tasks that may start, and their end.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/scheduler.h"
+
+#include "framework/log/log.h"
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// How often leases are checked and what is old is dropped.
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+/// How long a job that has ended can be asked for.
+constexpr Duration KeepSettled = std::chrono::seconds(180);
+/// Jobs forgotten in one batch.
+constexpr std::size_t MaxForgotten = 200;
+
+const char *stateName(JobState State) {
+  switch (State) {
+  case JobState::Active:
+    return "active";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerNeeds Needs, LeaderTerm Term, LeaseSettings Lease)
+    : Needs_(Needs), Term_(Term), Lease_(Lease),
+      Batches_(Needs.Log, Needs.Timers),
+      // A leader gives no lease once it has lost its own, which it has before
+      // another can lead; so all that it gave is over one lease from now.
+      TakenOverAt_(Needs.Clock.now() + leaseBound(Lease)) {
+  std::size_t Active = 0;
+  for (const auto &[Id, Each] : Needs_.Store.Jobs) {
+    if (Each.State == JobState::Active) {
+      Orders_[Id] = 0;
+      ++Active;
+    } else {
+      Settled_.emplace_back(Needs_.Clock.now(), Id);
+    }
+  }
+  logEvent(LogLevel::Info, Module, "takes_over",
+           {{"term", Term.value()}, {"active_jobs", Active}});
+  tick();
+}
+
+Scheduler::~Scheduler() {
+  *Alive_ = false;
+  for (auto &[Id, Waiting] : Waiters_)
+    for (const EndCallback &Run : Waiting.Callbacks)
+      Run(Error{ErrorCode::Unavailable, "leadership was lost"});
+}
+
+const Job *Scheduler::jobOf(const JobId &Id) const {
+  const Job *Found = findJob(Transient_, Id);
+  return Found ? Found : findJob(Needs_.Store, Id);
+}
+
+const TaskRecord *Scheduler::taskOf(const TaskId &Id) const {
+  const TaskRecord *Found = findTask(Transient_, Id);
+  return Found ? Found : findTask(Needs_.Store, Id);
+}
+
+void Scheduler::accept(Job New, Callback Done) {
+  New.AcceptedIn = Term_;
+  JobChanges Changes;
+  Changes.Accepted.push_back(std::move(New));
+  JobId Id = Changes.Accepted.front().Id;
+  Batches_.add(std::move(Changes), [this, Alive = Alive_, Id,
+                                    Done = std::move(Done)](
+                                       const Outcome<geraniumbay::Done> &Was) {
+    Done(Was);
+    if (!*Alive || !Was)
+      return;
+    const Job *Of = findJob(Needs_.Store, Id);
+    if (!Of || Of->State != JobState::Active || Orders_.count(Id) != 0)
+      return;
+    Orders_[Id] = ++LastOrder_;
+    enqueueReady(*Of);
+    scheduleSoon();
+  });
+}
+
+void Scheduler::cancel(const JobId &Id, Callback Done) {
+  JobChanges Changes;
+  Changes.Cancelled.push_back(Id);
+  Batches_.add(std::move(Changes),
+               [this, Alive = Alive_, Id, Done = std::move(Done)](
+                   const Outcome<geraniumbay::Done> &Was) {
+                 Done(Was);
+                 if (*Alive && Was)
+                   jobSettled(Id);
+               });
+}
+
+std::size_t Scheduler::pending(const QueueName &Queue) const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Order] : Orders_) {
+    const Job *Of = jobOf(Id);
+    if (Of && Of->Queue == Queue && !hasBegun(Id))
+      ++Count;
+  }
+  return Count;
+}
+
+bool Scheduler::mayHaveEarlierRun(const Job &Of) const {
+  return !TakenOver_ && (Of.AcceptedIn != Term_ || Of.Spec.Transient);
+}
+
+void Scheduler::enqueueReady(const Job &Of) {
+  if (mayHaveEarlierRun(Of))
+    return;
+  for (std::uint32_t Step = 0; Step < Of.Tasks.size(); ++Step) {
+    if (!dependenciesDone(Of, Step))
+      continue;
+    for (std::uint32_t Index = 0; Index < Of.Tasks[Step].size(); ++Index)
+      enqueue({Of.Id, Step, Index});
+  }
+}
+
+void Scheduler::enqueue(const TaskId &Id) {
+  const TaskRecord *Record = taskOf(Id);
+  if (!Record || Record->Done || Places_.count(Id) != 0 ||
+      Ranks_.count(Id) != 0)
+    return;
+  const Job &Of = *jobOf(Id.Job);
+  if (mayHaveEarlierRun(Of) || !dependenciesDone(Of, Id.Step))
+    return;
+  const StepSpec &Step = Of.Spec.Steps[Id.Step];
+  TaskRank Rank{Of.Priority, Orders_[Id.Job], Id.Step, Id.Index};
+  // Jobs of earlier terms have one order; the id keeps their ranks apart.
+  while (Queue_.count(Rank) != 0)
+    ++Rank.Index;
+  Queue_.emplace(Rank, WaitingTask{Id, Step.Needs, Of.Service, Step.Estimate});
+  Ranks_.emplace(Id, Rank);
+}
+
+void Scheduler::forgetWaiting(const JobId &Id) {
+  std::erase_if(Queue_, [&](const auto &Entry) {
+    if (Entry.second.Id.Job != Id)
+      return false;
+    Ranks_.erase(Entry.second.Id);
+    return true;
+  });
+}
+
+void Scheduler::jobSettled(const JobId &Id) {
+  if (Orders_.erase(Id) == 0)
+    return;
+  const Job *Of = jobOf(Id);
+  const char *State = Of ? stateName(Of->State) : "forgotten";
+  logEvent(LogLevel::Info, Module, "job_ended",
+           {{"job", Id}, {"state", State}, {"term", Term_.value()}});
+  Needs_.Measured.count("geraniumbay_jobs_ended_total", "Jobs that ended.",
+                        {{"state", State}});
+  forgetWaiting(Id);
+  stopRunsOf(Id);
+  if (!isTransient(Id)) {
+    Begun_.erase(Id);
+    Settled_.emplace_back(Needs_.Clock.now(), Id);
+    return;
+  }
+  if (Of)
+    answerWaiters(Id, Of->State);
+  Begun_.erase(Id);
+  Answered_.emplace_back(Needs_.Clock.now(), Id);
+}
+
+void Scheduler::committed(const JobChanges &Changes) {
+  for (const TaskEnd &End : Changes.Ended) {
+    const Job *Of = jobOf(End.Task.Job);
+    if (!Of)
+      continue;
+    if (Of->State != JobState::Active) {
+      LastRuns_.erase(End.Task);
+      jobSettled(End.Task.Job);
+      continue;
+    }
+    if (End.Succeeded)
+      enqueueReady(*Of);
+    else
+      enqueue(End.Task);
+  }
+  scheduleSoon();
+}
+
+void Scheduler::forgetSettled(Time Now) {
+  JobChanges Changes;
+  while (!Settled_.empty() && Changes.Forgotten.size() < MaxForgotten &&
+         Now - Settled_.front().first >= KeepSettled) {
+    Changes.Forgotten.push_back(Settled_.front().second);
+    Settled_.pop_front();
+  }
+  if (!Changes.empty())
+    Batches_.add(std::move(Changes), [](const Outcome<Done> & /*Was*/) {
+      // A later leader forgets what this one did not manage to.
+    });
+}
+
+void Scheduler::takeOver() {
+  TakenOver_ = true;
+  for (const auto *Store : {&Needs_.Store, &std::as_const(Transient_)})
+    for (const auto &[Id, Each] : Store->Jobs)
+      if (Each.State == JobState::Active)
+        enqueueReady(Each);
+  logEvent(LogLevel::Info, Module, "took_over",
+           {{"term", Term_.value()},
+            {"workers", Sessions_.size()},
+            {"waiting_tasks", Queue_.size()}});
+}
+
+void Scheduler::takeOverIfAllKnown() {
+  if (TakenOver_ || AllKnown_ || Sessions_.empty())
+    return;
+  for (const auto &[Worker, With] : Sessions_)
+    if (!With.Known)
+      return;
+  AllKnown_ = true;
+  // What was found and is not wanted has been stopped by then.
+  TakenOverAt_ = std::min(TakenOverAt_,
+                          Needs_.Clock.now() + Lease_.KillTime * 2);
+}
+
+void Scheduler::tick() {
+  Time Now = Needs_.Clock.now();
+  checkLeases(Now);
+  forgetSettled(Now);
+  forgetTransient(Now);
+  giveUpLate(Now);
+  if (!TakenOver_ && Now >= TakenOverAt_)
+    takeOver();
+  scheduleSoon();
+  Needs_.Timers.after(TickInterval, [this, Alive = Alive_] {
+    if (*Alive)
+      tick();
+  });
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/scheduler.h
@@ -0,0 +1,158 @@
+//===- scheduler.h - One leader's term of scheduling ------------*- C++ -*-===//
+//
+// Decides what starts where while this control VM leads. It lives for one term:
+// a new leader builds a new one, which learns from the workers what runs.
+//
+// Taking over. Tasks that an earlier leader may have started are left alone
+// until every worker has either said what it runs or has certainly killed what
+// that leader started, its last lease being over.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_SCHEDULER_H
+#define GERANIUMBAY_JOBS_INTERNAL_SCHEDULER_H
+
+#include "framework/metrics/metrics.h"
+#include "jobs/internal/batcher.h"
+#include "jobs/internal/taskqueue.h"
+#include "jobs/internal/workersession.h"
+#include "jobs/jobstore.h"
+
+#include <deque>
+#include <unordered_set>
+
+namespace geraniumbay::jobs {
+
+/// What the scheduler works with; all of it outlives the scheduler.
+struct SchedulerNeeds {
+  control::IReplicatedLog &Log;
+  const JobStore &Store;
+  IWorkerCalls &Workers;
+  const IClock &Clock;
+  ITimers &Timers;
+  Metrics &Measured;
+};
+
+/// The scheduler of one term.
+class Scheduler {
+public:
+  using Callback = Batcher::Callback;
+  /// Called when a transient job has ended, with Completed or Failed, or with
+  /// Cancelled if no task of it was started. Unavailable: this leader has lost
+  /// its leadership, and what becomes of the job is open.
+  using EndCallback = std::function<void(const Outcome<JobState> &)>;
+
+  Scheduler(SchedulerNeeds Needs, LeaderTerm Term, LeaseSettings Lease);
+  ~Scheduler();
+  Scheduler(const Scheduler &) = delete;
+  Scheduler &operator=(const Scheduler &) = delete;
+
+  LeaderTerm term() const { return Term_; }
+
+  /// Accepts \p New durably and calls back. Unavailable: it certainly was not
+  /// taken; Timeout: unknown.
+  void accept(Job New, Callback Done);
+  /// Runs the transient job \p New, or joins it if it runs or has just ended.
+  /// It is given up if it has not begun after \p Patience.
+  void run(Job New, Duration Patience, EndCallback Ended);
+  /// Cancels the job durably and calls back; its tasks are stopped.
+  void cancel(const JobId &Id, Callback Done);
+  /// Whether a task of the job has been started, as far as this leader knows.
+  bool hasBegun(const JobId &Id) const { return Begun_.count(Id) != 0; }
+  /// How many jobs of \p Queue wait for their first start.
+  std::size_t pending(const QueueName &Queue) const;
+
+  /// Takes what is known of the workers now.
+  void takeWorkers(const WorkerDirectory &Directory);
+
+private:
+  // Lookups over durable and transient jobs.
+  const Job *jobOf(const JobId &Id) const;
+  const TaskRecord *taskOf(const TaskId &Id) const;
+  bool isTransient(const JobId &Id) const {
+    return Transient_.Jobs.count(Id) != 0;
+  }
+
+  // Transient jobs (transientjobs.cpp).
+  void giveUpLate(Time Now);
+  void answerWaiters(const JobId &Id, const Outcome<JobState> &Ended);
+  void forgetTransient(Time Now);
+
+  // Jobs and their tasks (scheduler.cpp).
+  void takeOver();
+  void takeOverIfAllKnown();
+  void committed(const JobChanges &Changes);
+  void enqueueReady(const Job &Of);
+  void enqueue(const TaskId &Id);
+  void forgetWaiting(const JobId &Id);
+  void jobSettled(const JobId &Id);
+  void forgetSettled(Time Now);
+  bool mayHaveEarlierRun(const Job &Of) const;
+  void tick();
+
+  // Placement (placement.cpp).
+  void scheduleSoon();
+  void schedule();
+  WorkerSession *bestWorker(const WaitingTask &Task, Time Now);
+  void start(WorkerSession &On, const WaitingTask &Task);
+  void started(const WorkerId &Worker, const TaskId &Task, RunNumber Number,
+               const StartAnswer &Answer);
+  RunNumber nextRun(const Job &Of, const TaskId &Task);
+
+  // Conversations with workers (workerwatch.cpp).
+  void hold(WorkerSession &With);
+  void held(const WorkerId &Worker, const Outcome<HoldAnswer> &Answer);
+  void takeFindings(WorkerSession &On, const HoldFindings &Found);
+  void found(WorkerSession &On, const RunningTask &Task);
+  void recordEnds(WorkerSession &On, const std::vector<EndedTask> &Ended);
+  void recordDurably(const WorkerId &Worker, std::uint64_t Upto,
+                     JobChanges Changes);
+  void stopRunsOf(const JobId &Id);
+  void dropWorker(const WorkerId &Worker, const char *Reason);
+  void loseRuns(WorkerSession &On, const char *Reason);
+  void checkLeases(Time Now);
+  WorkerSession *session(const WorkerId &Worker);
+
+  const SchedulerNeeds Needs_;
+  const LeaderTerm Term_;
+  const LeaseSettings Lease_;
+  /// Callbacks look here before they touch a scheduler that may be gone.
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
+  Batcher Batches_;
+
+  /// Tasks of jobs of earlier terms wait until then; see above.
+  Time TakenOverAt_;
+  bool TakenOver_ = false;
+  /// All known workers have said what they run.
+  bool AllKnown_ = false;
+
+  std::map<WorkerId, WorkerSession> Sessions_;
+  /// Where each known run is. Invariant: agrees with Sessions_.
+  std::unordered_map<TaskId, WorkerId> Places_;
+  /// Tasks that may start now, in order.
+  TaskQueue Queue_;
+  std::unordered_map<TaskId, TaskRank> Ranks_;
+  /// The order of the active jobs.
+  std::unordered_map<JobId, std::uint64_t> Orders_;
+  std::uint64_t LastOrder_ = 0;
+  std::unordered_map<TaskId, RunNumber> LastRuns_;
+  std::unordered_set<JobId> Begun_;
+  /// Jobs that have ended, oldest first, with the time.
+  std::deque<std::pair<Time, JobId>> Settled_;
+  bool ScheduleDue_ = false;
+
+  /// Jobs that only this leader knows.
+  JobStore Transient_;
+  struct Waiters {
+    std::vector<EndCallback> Callbacks;
+    Time GiveUpAt;
+  };
+  /// Of transient jobs that are active.
+  std::unordered_map<JobId, Waiters> Waiters_;
+  /// Transient jobs that have ended, oldest first.
+  std::deque<std::pair<Time, JobId>> Answered_;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_SCHEDULER_H
--- /dev/null
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -0,0 +1,87 @@
+//===- workerdirectory.cpp - The workers that announced themselves --------===//
+//
+// Order of announcements and their JSON form.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/workerdirectory.h"
+
+namespace geraniumbay::jobs {
+
+bool announce(WorkerDirectory &Directory, const WorkerInfo &Info, Time Now) {
+  if (Directory.Left.count(Info.Worker) != 0)
+    return false;
+  auto [Place, Fresh] =
+      Directory.Workers.try_emplace(Info.Worker, KnownWorker{Info, Now});
+  if (Fresh)
+    return true;
+  KnownWorker &Known = Place->second;
+  if (Info.Sequence < Known.Info.Sequence)
+    return false;
+  Known.Heard = Now;
+  // Draining is for good.
+  bool Draining = Known.Info.Draining || Info.Draining;
+  Known.Info = Info;
+  Known.Info.Draining = Draining;
+  return true;
+}
+
+void leave(WorkerDirectory &Directory, const WorkerId &Worker) {
+  Directory.Workers.erase(Worker);
+  Directory.Left.insert(Worker);
+}
+
+void dropSilent(WorkerDirectory &Directory, Time Now) {
+  std::erase_if(Directory.Workers, [&](const auto &Entry) {
+    return Now - Entry.second.Heard >= WorkerSilence;
+  });
+}
+
+Json::Value write(const WorkerInfo &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["worker"] = Value.Worker.value();
+  Result["at"] = Value.At.text();
+  Result["service"] = Value.Service.value();
+  Result["data_centre"] = Value.DataCentre.value();
+  Result["cpu"] = Value.Capacity.CpuMillis;
+  Result["mem"] = Value.Capacity.MemoryMb;
+  Result["gpu"] = Value.Capacity.Gpus;
+  Result["labels"] = Json::Value(Json::arrayValue);
+  for (const std::string &Label : Value.Labels)
+    Result["labels"].append(Label);
+  Result["draining"] = Value.Draining;
+  Result["sequence"] = Json::UInt64(Value.Sequence);
+  Result["clock"] = Json::Int64(Value.Clock.value());
+  return Result;
+}
+
+RetVal<WorkerInfo> readWorker(const Json::Value &From) {
+  WorkerInfo Result;
+  BOOST_LEAF_AUTO(Worker, json::readString(From, "worker"));
+  Result.Worker = WorkerId(std::move(Worker));
+  BOOST_LEAF_AUTO(At, json::readString(From, "at"));
+  BOOST_LEAF_ASSIGN(Result.At, parseEndpoint(At));
+  BOOST_LEAF_AUTO(Service, json::readString(From, "service"));
+  Result.Service = ServiceId(std::move(Service));
+  BOOST_LEAF_AUTO(DataCentre, json::readString(From, "data_centre"));
+  Result.DataCentre = DataCentreId(std::move(DataCentre));
+  BOOST_LEAF_AUTO(Cpu, json::readUintOr(From, "cpu", 0));
+  BOOST_LEAF_AUTO(Memory, json::readUintOr(From, "mem", 0));
+  BOOST_LEAF_AUTO(Gpus, json::readUintOr(From, "gpu", 0));
+  Result.Capacity = {static_cast<std::uint32_t>(Cpu),
+                     static_cast<std::uint32_t>(Memory),
+                     static_cast<std::uint32_t>(Gpus)};
+  BOOST_LEAF_AUTO(Labels, json::readArray(From, "labels"));
+  for (const Json::Value &Label : Labels) {
+    if (!Label.isString())
+      return fail(ErrorCode::InvalidArgument, "a label is no text");
+    Result.Labels.push_back(Label.asString());
+  }
+  BOOST_LEAF_ASSIGN(Result.Draining, json::readBoolOr(From, "draining", false));
+  BOOST_LEAF_ASSIGN(Result.Sequence, json::readUint(From, "sequence"));
+  BOOST_LEAF_AUTO(Clock, json::readUintOr(From, "clock", 0));
+  Result.Clock = WorkerMillis(static_cast<std::int64_t>(Clock));
+  return Result;
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/workersession.cpp
@@ -0,0 +1,156 @@
+//===- workersession.cpp - A leader's dealings with one worker ------------===//
+//
+// Leases, clocks and the reading of hold answers.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/workersession.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr int Percent = 100;
+
+bool lists(const std::vector<RunningTask> &Running, const TaskId &Task,
+           RunNumber Number) {
+  return std::any_of(Running.begin(), Running.end(),
+                     [&](const RunningTask &Each) {
+                       return Each.Run == Number && Each.Task == Task;
+                     });
+}
+
+void takeEnds(WorkerSession &Session, const HoldAnswer &Answer,
+              HoldFindings &Out) {
+  for (const EndedTask &End : Answer.Ended) {
+    if (End.Number <= Session.TakenEnd)
+      continue;
+    Out.Ended.push_back(End);
+    auto Found = Session.Runs.find(End.Task);
+    if (Found != Session.Runs.end() && Found->second.Number <= End.Run)
+      removeRun(Session, End.Task);
+  }
+  for (const EndedTask &End : Out.Ended)
+    Session.TakenEnd = std::max(Session.TakenEnd, End.Number);
+}
+
+void takeRunning(WorkerSession &Session, const HoldAnswer &Answer,
+                 HoldFindings &Out) {
+  for (const RunningTask &Each : Answer.Running) {
+    auto Found = Session.Runs.find(Each.Task);
+    if (Found == Session.Runs.end() || Found->second.Number != Each.Run) {
+      Out.Found.push_back(Each);
+      continue;
+    }
+    Found->second.Confirmed = true;
+  }
+}
+
+void dropMissing(WorkerSession &Session, const HoldAnswer &Answer,
+                 HoldFindings &Out) {
+  for (const auto &[Task, Known] : Session.Runs)
+    if (Answer.Clock > Known.ShownAfter &&
+        !lists(Answer.Running, Task, Known.Number))
+      Out.Missing.push_back(Task);
+  for (const TaskId &Task : Out.Missing)
+    removeRun(Session, Task);
+}
+
+} // namespace
+
+const char *startResultName(StartResult Result) {
+  switch (Result) {
+  case StartResult::Started:
+    return "started";
+  case StartResult::Fenced:
+    return "fenced";
+  case StartResult::OutOfOrder:
+    return "out_of_order";
+  case StartResult::Late:
+    return "late";
+  case StartResult::NoRoom:
+    return "no_room";
+  case StartResult::Gone:
+    return "gone";
+  case StartResult::Unhealthy:
+    return "unhealthy";
+  case StartResult::Invalid:
+    return "invalid";
+  case StartResult::NotReceived:
+    return "not_received";
+  case StartResult::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+Duration leaseBound(const LeaseSettings &Settings) {
+  return Settings.Longest * Percent / (Percent - Settings.SlowClockPercent) +
+         Settings.KillTime;
+}
+
+WorkerMillis leaseUntil(const WorkerSession &Session,
+                        const LeaseSettings &Settings, Time Now) {
+  Duration Passed = (Now - Session.ClockSeen) *
+                    (Percent - Settings.SlowClockPercent) / Percent;
+  auto Millis = std::chrono::floor<std::chrono::milliseconds>(
+      Passed + Settings.Longest);
+  return WorkerMillis(Session.Clock.value() + Millis.count());
+}
+
+void noteLease(WorkerSession &Session, const LeaseSettings &Settings,
+               Time Now) {
+  Session.LeaseEnds = std::max(Session.LeaseEnds, Now + leaseBound(Settings));
+}
+
+bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now) {
+  if (Clock < Session.Clock)
+    return false;
+  Session.Clock = Clock;
+  Session.ClockSeen = Now;
+  return true;
+}
+
+bool hasRoom(const WorkerSession &Session, const Resources &Needs) {
+  const Resources &All = Session.Info.Capacity;
+  const Resources &Used = Session.Used;
+  return Used.CpuMillis + Needs.CpuMillis <= All.CpuMillis &&
+         Used.MemoryMb + Needs.MemoryMb <= All.MemoryMb &&
+         Used.Gpus + Needs.Gpus <= All.Gpus;
+}
+
+void addRun(WorkerSession &Session, const TaskId &Task, Run Added) {
+  removeRun(Session, Task);
+  Session.Used.CpuMillis += Added.Needs.CpuMillis;
+  Session.Used.MemoryMb += Added.Needs.MemoryMb;
+  Session.Used.Gpus += Added.Needs.Gpus;
+  Session.Runs.emplace(Task, Added);
+}
+
+void removeRun(WorkerSession &Session, const TaskId &Task) {
+  auto Found = Session.Runs.find(Task);
+  if (Found == Session.Runs.end())
+    return;
+  const Resources &Needs = Found->second.Needs;
+  Session.Used.CpuMillis -= Needs.CpuMillis;
+  Session.Used.MemoryMb -= Needs.MemoryMb;
+  Session.Used.Gpus -= Needs.Gpus;
+  Session.Runs.erase(Found);
+}
+
+HoldFindings takeHold(WorkerSession &Session, const HoldAnswer &Answer,
+                      Time Now) {
+  HoldFindings Out;
+  bool Newest = noteClock(Session, Answer.Clock, Now);
+  takeEnds(Session, Answer, Out);
+  // What an overtaken answer lists as running may have ended since.
+  if (!Newest)
+    return Out;
+  takeRunning(Session, Answer, Out);
+  dropMissing(Session, Answer, Out);
+  return Out;
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/workersession.h
@@ -0,0 +1,119 @@
+//===- workersession.h - A leader's dealings with one worker ----*- C++ -*-===//
+//
+// What a leader believes of one worker: its clock, what runs on it, until when
+// its lease may last. Plain state with free functions that take a message and
+// return what follows from it; the scheduler carries it out.
+//
+// Why a run is never lost sight of. A start whose answer is missing may be
+// carried out until its lease has passed on the worker's clock. A hold answer
+// from after that moment shows whether it was. A worker that does not answer
+// has killed everything once the last lease that it may have been given is
+// over. Until one of these is known the task stays bound to the worker.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_WORKERSESSION_H
+#define GERANIUMBAY_JOBS_INTERNAL_WORKERSESSION_H
+
+#include "jobs/workerdirectory.h"
+
+#include <unordered_map>
+
+namespace geraniumbay::jobs {
+
+/// One start of a task, as the leader knows it.
+struct Run {
+  RunNumber Number;
+  Resources Needs;
+  /// When the leader ordered or found it.
+  Time Since;
+  /// The worker has confirmed it.
+  bool Confirmed = false;
+  /// It has been ordered to stop.
+  bool Stopping = false;
+  /// A hold answer from after this moment of the worker's clock that does not
+  /// list the run shows that it does not exist.
+  WorkerMillis ShownAfter;
+};
+
+struct WorkerSession {
+  WorkerInfo Info;
+  /// By task. Invariant: Used is the sum of their needs.
+  std::unordered_map<TaskId, Run> Runs;
+  Resources Used;
+
+  /// A moment of the worker's clock and the latest time here at which it was.
+  WorkerMillis Clock;
+  Time ClockSeen;
+  /// It has answered a hold of this leader, so all that runs there is known.
+  bool Known = false;
+  /// The last hold failed: nothing is started, and no lease renewed, until one
+  /// succeeds.
+  bool Silent = false;
+  /// No task that this leader knows of can run there after this time, unless
+  /// another lease is given.
+  Time LeaseEnds;
+  /// The worker refused work; it gets none before this time.
+  Time RestUntil;
+
+  bool HoldUnderWay = false;
+  /// The highest end that is recorded in the log or needs no record.
+  std::uint64_t RecordedEnd = 0;
+  /// The highest end that has been taken into a batch.
+  std::uint64_t TakenEnd = 0;
+};
+
+/// The longest lease that workers grant, and the pace of what renews it. From
+/// the platform's bounds; a lease is renewed well before half of it is over.
+struct LeaseSettings {
+  Duration Longest = std::chrono::milliseconds(1000);
+  /// A worker's clock may be this much slower than this one (in percent).
+  int SlowClockPercent = 2;
+  /// A worker takes this long to kill what has no lease.
+  Duration KillTime = std::chrono::milliseconds(50);
+  /// How long a worker waits for an end before it answers a hold.
+  Duration HoldWait = std::chrono::milliseconds(400);
+  /// An answer that is this late is given up.
+  Duration AnswerMargin = std::chrono::milliseconds(250);
+};
+
+/// How long after a lease was given everything under it is certainly dead.
+Duration leaseBound(const LeaseSettings &Settings);
+
+/// The lease to ask for now, on the worker's clock. It never exceeds what the
+/// worker grants, since the clock is estimated as early as it can be.
+WorkerMillis leaseUntil(const WorkerSession &Session,
+                        const LeaseSettings &Settings, Time Now);
+
+/// Notes that a lease is given now.
+void noteLease(WorkerSession &Session, const LeaseSettings &Settings, Time Now);
+
+/// Notes a moment of the worker's clock that an answer brought. Returns false
+/// if an answer from a later moment was seen before.
+bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now);
+
+/// Whether the worker has room for \p Needs.
+bool hasRoom(const WorkerSession &Session, const Resources &Needs);
+
+void addRun(WorkerSession &Session, const TaskId &Task, Run Added);
+/// Removes the run if it is there.
+void removeRun(WorkerSession &Session, const TaskId &Task);
+
+/// What a hold answer shows.
+struct HoldFindings {
+  /// Runs of this leader that have ended, with their ends.
+  std::vector<EndedTask> Ended;
+  /// Tasks that run there and that the session did not have.
+  std::vector<RunningTask> Found;
+  /// Runs that turned out not to exist. They have been removed.
+  std::vector<TaskId> Missing;
+};
+
+/// Takes an answer: removes runs that ended or do not exist, confirms those
+/// that run. Ends that were taken before are left out.
+HoldFindings takeHold(WorkerSession &Session, const HoldAnswer &Answer,
+                      Time Now);
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_WORKERSESSION_H
--- /dev/null
+++ b/src/jobs/internal/workerwatch.cpp
@@ -0,0 +1,258 @@
+//===- workerwatch.cpp - Conversations with workers -----------------------===//
+//
+// One hold after the other to each worker: it renews the lease, brings the ends
+// and shows what runs. An end is in the log before the worker may forget it.
+//
+//===----------------------------------------------------------------------===//
+
+#include "framework/log/log.h"
+#include "jobs/internal/scheduler.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// The pause before a worker that did not answer is asked again.
+constexpr Duration RetryPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+WorkerSession *Scheduler::session(const WorkerId &Worker) {
+  auto Found = Sessions_.find(Worker);
+  return Found == Sessions_.end() ? nullptr : &Found->second;
+}
+
+void Scheduler::takeWorkers(const WorkerDirectory &Directory) {
+  Time Now = Needs_.Clock.now();
+  for (const auto &[Id, Known] : Directory.Workers) {
+    auto [Place, Fresh] = Sessions_.try_emplace(Id);
+    WorkerSession &With = Place->second;
+    bool Drains = Known.Info.Draining && !With.Info.Draining;
+    With.Info = Known.Info;
+    if (Drains)
+      logEvent(LogLevel::Info, Module, "worker_drains", {{"worker", Id}});
+    if (!Fresh)
+      continue;
+    With.Clock = Known.Info.Clock;
+    With.ClockSeen = Now;
+    logEvent(LogLevel::Info, Module, "worker_found",
+             {{"worker", Id},
+              {"address", Known.Info.At.text()},
+              {"data_centre", Known.Info.DataCentre}});
+    hold(With);
+  }
+  std::vector<WorkerId> Gone;
+  for (const auto &[Id, With] : Sessions_)
+    if (Directory.Workers.count(Id) == 0 && With.Runs.empty())
+      Gone.push_back(Id);
+  for (const WorkerId &Id : Gone)
+    dropWorker(Id, "not announced any more");
+}
+
+void Scheduler::hold(WorkerSession &With) {
+  if (With.HoldUnderWay || !Needs_.Log.holdsLease())
+    return;
+  Time Now = Needs_.Clock.now();
+  HoldOrder Order;
+  Order.Token = Term_;
+  Order.LastSeenEnd = With.RecordedEnd;
+  // A lease keeps alive whatever runs there. So none is given before all that
+  // runs there is known, nor to a worker whose silence must come to an end.
+  if (With.Known && !With.Silent) {
+    Order.LeaseUntil = leaseUntil(With, Lease_, Now);
+    Order.Wait = Lease_.HoldWait;
+    noteLease(With, Lease_, Now);
+  }
+  With.HoldUnderWay = true;
+  Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
+                      [this, Alive = Alive_, Worker = With.Info.Worker](
+                          const Outcome<HoldAnswer> &Answer) {
+                        if (*Alive)
+                          held(Worker, Answer);
+                      });
+}
+
+void Scheduler::held(const WorkerId &Worker,
+                     const Outcome<HoldAnswer> &Answer) {
+  WorkerSession *With = session(Worker);
+  if (!With)
+    return;
+  With->HoldUnderWay = false;
+  if (!Answer && Answer.error().Code == ErrorCode::NotFound)
+    return dropWorker(Worker, "another incarnation answered");
+  if (!Answer) {
+    if (!With->Silent)
+      logEvent(LogLevel::Warning, Module, "worker_silent",
+               {{"worker", Worker},
+                {"runs", With->Runs.size()},
+                {"reason", Answer.error().Message}});
+    With->Silent = true;
+    Needs_.Timers.after(RetryPause, [this, Alive = Alive_, Worker] {
+      WorkerSession *Again = *Alive ? session(Worker) : nullptr;
+      if (Again)
+        hold(*Again);
+    });
+    return;
+  }
+  if (With->Silent)
+    logEvent(LogLevel::Info, Module, "worker_answers", {{"worker", Worker}});
+  With->Silent = false;
+  takeFindings(*With, takeHold(*With, *Answer, Needs_.Clock.now()));
+  With->Known = true;
+  takeOverIfAllKnown();
+  // With ends to record the next hold waits for the log, since the worker
+  // would answer it at once with the same ends.
+  if (With->TakenEnd == With->RecordedEnd)
+    hold(*With);
+  scheduleSoon();
+}
+
+void Scheduler::takeFindings(WorkerSession &On, const HoldFindings &Findings) {
+  for (const EndedTask &End : Findings.Ended) {
+    auto Place = Places_.find(End.Task);
+    if (Place != Places_.end() && Place->second == On.Info.Worker &&
+        On.Runs.count(End.Task) == 0)
+      Places_.erase(Place);
+    if (End.How == EndKind::Other)
+      enqueue(End.Task);
+  }
+  for (const TaskId &Task : Findings.Missing) {
+    logEvent(LogLevel::Warning, Module, "run_missing",
+             {{"job", Task.Job},
+              {"step", Task.Step},
+              {"index", Task.Index},
+              {"worker", On.Info.Worker}});
+    Places_.erase(Task);
+    enqueue(Task);
+  }
+  for (const RunningTask &Task : Findings.Found)
+    found(On, Task);
+  // A stop may have been lost on its way.
+  for (const auto &[Task, Each] : On.Runs)
+    if (Each.Stopping)
+      Needs_.Workers.stop({On.Info.Worker, On.Info.At},
+                          {Task, Each.Number, Term_});
+  if (!Findings.Ended.empty())
+    recordEnds(On, Findings.Ended);
+}
+
+void Scheduler::found(WorkerSession &On, const RunningTask &Task) {
+  const TaskRecord *Record = taskOf(Task.Task);
+  bool Wanted = Record && !Record->Done && Places_.count(Task.Task) == 0;
+  logEvent(LogLevel::Info, Module, Wanted ? "run_adopted" : "run_unwanted",
+           {{"job", Task.Task.Job},
+            {"step", Task.Task.Step},
+            {"index", Task.Task.Index},
+            {"run", Task.Run.value()},
+            {"worker", On.Info.Worker}});
+  if (!Wanted) {
+    Needs_.Workers.stop({On.Info.Worker, On.Info.At},
+                        {Task.Task, Task.Run, Term_});
+    return;
+  }
+  const Job &Of = *jobOf(Task.Task.Job);
+  if (auto Rank = Ranks_.find(Task.Task); Rank != Ranks_.end()) {
+    Queue_.erase(Rank->second);
+    Ranks_.erase(Rank);
+  }
+  addRun(On, Task.Task,
+         Run{Task.Run, Of.Spec.Steps[Task.Task.Step].Needs, Needs_.Clock.now(),
+             true, false, On.Clock});
+  Places_[Task.Task] = On.Info.Worker;
+  RunNumber &Last = LastRuns_[Task.Task];
+  Last = std::max(Last, Task.Run);
+  Begun_.insert(Task.Task.Job);
+}
+
+void Scheduler::recordEnds(WorkerSession &On,
+                           const std::vector<EndedTask> &Ended) {
+  JobChanges Durable;
+  JobChanges Passing;
+  for (const EndedTask &End : Ended) {
+    const TaskRecord *Record = taskOf(End.Task);
+    if (End.How == EndKind::Other || !Record || Record->Done)
+      continue;
+    JobChanges &Into = isTransient(End.Task.Job) ? Passing : Durable;
+    Into.Ended.push_back({End.Task, End.Run, End.How == EndKind::Done});
+  }
+  WorkerId Worker = On.Info.Worker;
+  std::uint64_t Upto = On.TakenEnd;
+  if (Durable.empty())
+    On.RecordedEnd = Upto;
+  else
+    recordDurably(Worker, Upto, std::move(Durable));
+  apply(Transient_, Passing);
+  committed(Passing);
+}
+
+void Scheduler::recordDurably(const WorkerId &Worker, std::uint64_t Upto,
+                              JobChanges Changes) {
+  JobChanges Copy = Changes;
+  Batches_.add(std::move(Changes),
+               [this, Alive = Alive_, Worker, Upto,
+                Ends = std::move(Copy)](const Outcome<Done> &Was) {
+                 // Without an answer from the log this leader is none any
+                 // more; the next one finds the ends at the worker.
+                 if (!*Alive || !Was)
+                   return;
+                 committed(Ends);
+                 WorkerSession *With = session(Worker);
+                 if (!With)
+                   return;
+                 With->RecordedEnd = std::max(With->RecordedEnd, Upto);
+                 if (With->RecordedEnd == With->TakenEnd)
+                   hold(*With);
+               });
+}
+
+void Scheduler::stopRunsOf(const JobId &Id) {
+  for (auto &[Worker, With] : Sessions_)
+    for (auto &[Task, Each] : With.Runs) {
+      if (Task.Job != Id)
+        continue;
+      Each.Stopping = true;
+      Needs_.Workers.stop({Worker, With.Info.At}, {Task, Each.Number, Term_});
+    }
+}
+
+void Scheduler::loseRuns(WorkerSession &On, const char *Reason) {
+  std::vector<TaskId> Lost;
+  for (const auto &[Task, Each] : On.Runs)
+    Lost.push_back(Task);
+  for (const TaskId &Task : Lost) {
+    logEvent(LogLevel::Warning, Module, "run_lost",
+             {{"job", Task.Job},
+              {"step", Task.Step},
+              {"index", Task.Index},
+              {"worker", On.Info.Worker},
+              {"reason", Reason}});
+    removeRun(On, Task);
+    Places_.erase(Task);
+    enqueue(Task);
+  }
+}
+
+void Scheduler::dropWorker(const WorkerId &Worker, const char *Reason) {
+  WorkerSession *With = session(Worker);
+  if (!With)
+    return;
+  logEvent(LogLevel::Info, Module, "worker_dropped",
+           {{"worker", Worker}, {"reason", Reason}});
+  loseRuns(*With, Reason);
+  Sessions_.erase(Worker);
+  scheduleSoon();
+}
+
+void Scheduler::checkLeases(Time Now) {
+  for (auto &[Worker, With] : Sessions_) {
+    if (With.Silent && !With.Runs.empty() && Now >= With.LeaseEnds)
+      loseRuns(With, "lease over");
+    if (With.TakenEnd == With.RecordedEnd)
+      hold(With);
+  }
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/jobssetup.cpp
@@ -0,0 +1,48 @@
+//===- jobssetup.cpp - Wiring of the jobs module --------------------------===//
+//
+// Resolves by name what the constructors need.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/jobssetup.h"
+
+#include "control/controlsetup.h"
+#include "framework/kernel/names.h"
+#include "jobs/internal/jobgateway.h"
+#include "jobs/internal/jobservice.h"
+
+namespace geraniumbay::jobs {
+
+namespace framework_name = geraniumbay::service_name;
+
+void setUpJobControl(Registry &Services, RoutingReader Reader,
+                     Duration LongestLease) {
+  LeaseSettings Lease;
+  Lease.Longest = LongestLease;
+  JobServiceNeeds Needs{
+      Services.get<control::IReplicatedLog>(
+          control::service_name::ReplicatedLog),
+      Services.get<ReplicatedJobs>(service_name::JobStore).store(),
+      Services.get<IWorkerCalls>(service_name::WorkerCalls),
+      Services.get<IClock>(framework_name::Clock),
+      Services.get<ITimers>(framework_name::Timers),
+      Services.get<Metrics>(framework_name::Metrics),
+      Services.get<IRpcServer>(framework_name::RpcServer),
+      Services.get<IRpcClient>(framework_name::RpcClient)};
+  auto Service =
+      std::make_shared<JobService>(Needs, std::move(Reader), Lease);
+  Services.add<IJobControl>(service_name::JobControl, Service);
+  Service->start();
+}
+
+void setUpJobGateway(Registry &Services, std::vector<Endpoint> ControlVms) {
+  auto Gateway = std::make_shared<JobGateway>(
+      std::move(ControlVms),
+      Services.get<IRpcClient>(framework_name::RpcClient),
+      Services.get<IClock>(framework_name::Clock),
+      Services.get<ITimers>(framework_name::Timers));
+  Services.add<IJobGateway>(service_name::JobGateway, Gateway);
+  Gateway->start();
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/jobssetup.h
@@ -0,0 +1,41 @@
+//===- jobssetup.h - Wiring of the jobs module ------------------*- C++ -*-===//
+//
+// Builds the module's services and registers them by name.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_JOBSSETUP_H
+#define GERANIUMBAY_JOBS_JOBSSETUP_H
+
+#include "framework/kernel/registry.h"
+#include "framework/net/endpoint.h"
+#include "jobs/ijobcontrol.h"
+#include "jobs/ijobgateway.h"
+#include "jobs/jobstore.h"
+#include "jobs/routing.h"
+
+namespace geraniumbay::jobs {
+
+namespace service_name {
+
+constexpr const char *JobControl = "job_control"; ///< IJobControl
+constexpr const char *JobGateway = "job_gateway"; ///< IJobGateway
+/// IWorkerCalls, looked up by setUpJobControl.
+constexpr const char *WorkerCalls = "worker_calls";
+/// ReplicatedJobs, looked up by setUpJobControl.
+constexpr const char *JobStore = "job_store";
+
+} // namespace service_name
+
+/// Registers IJobControl on a control VM and starts it. Needs the framework's
+/// services, "replicated_log", "worker_calls" and "job_store".
+void setUpJobControl(Registry &Services, RoutingReader Reader,
+                     Duration LongestLease);
+
+/// Registers IJobGateway on an entry and starts to look for the leader among
+/// \p ControlVms.
+void setUpJobGateway(Registry &Services, std::vector<Endpoint> ControlVms);
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_JOBSSETUP_H
--- /dev/null
+++ b/src/jobs/jobtypes.h
@@ -0,0 +1,157 @@
+//===- jobtypes.h - Jobs, steps and tasks -----------------------*- C++ -*-===//
+//
+// The plain types of jobs that are accepted durably and asked for later. A job
+// has steps; a step has tasks of one kind; a task runs on one worker at a time
+// until it has ended well or has failed too often.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_JOBTYPES_H
+#define GERANIUMBAY_JOBS_JOBTYPES_H
+
+#include "control/ireplicatedlog.h"
+#include "framework/clock/iclock.h"
+#include "framework/types/strongid.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace geraniumbay::jobs {
+
+using control::LeaderTerm;
+
+/// The id of a job, chosen by the caller. Submitting it again is harmless.
+using JobId = StrongId<struct JobTag, std::string>;
+/// The configured name of a queue.
+using QueueName = StrongId<struct QueueTag, std::string>;
+/// Counts the starts of one task; a worker refuses a lower one.
+using RunNumber = StrongId<struct RunTag, std::uint64_t>;
+
+/// What a task takes from its worker while it runs.
+struct Resources {
+  /// Thousandths of a core.
+  std::uint32_t CpuMillis = 0;
+  std::uint32_t MemoryMb = 0;
+  std::uint32_t Gpus = 0;
+
+  bool operator==(const Resources &) const = default;
+};
+
+/// Tasks of one kind.
+struct StepSpec {
+  std::uint32_t Count = 1;
+  Resources Needs;
+  /// A rough guess of the caller; zero if it made none.
+  Duration Estimate{0};
+  /// Earlier steps whose tasks must all have ended well before.
+  std::vector<std::uint32_t> DependsOn;
+  /// A label that the worker must carry; empty for any worker.
+  std::string RequiredLabel;
+  /// The label of the rack that holds the data; empty if it does not matter.
+  std::string PreferredRack;
+  /// Most tasks of the step on one worker; 0 for any number.
+  std::uint32_t MaxPerWorker = 0;
+
+  bool operator==(const StepSpec &) const = default;
+};
+
+/// What a caller submits.
+struct JobSpec {
+  /// Handed to each task's worker as it is.
+  std::string Payload;
+  /// Invariant: never empty; a step depends on earlier ones only.
+  std::vector<StepSpec> Steps;
+  /// The job is not stored: its caller waits for the end, and sends it again if
+  /// no answer comes. Then it may run again, though never twice at a time.
+  bool Transient = false;
+
+  bool operator==(const JobSpec &) const = default;
+};
+
+/// Where a caller submits a job: a host and a path in its name space.
+struct QueuePlace {
+  std::string Host;
+  std::string PathPrefix;
+
+  bool operator==(const QueuePlace &) const = default;
+};
+
+/// What the log knows of one task.
+struct TaskRecord {
+  bool Done = false;
+  std::uint32_t Failures = 0;
+  /// The highest run whose end is recorded; a lower one is a repetition.
+  RunNumber LastEnded;
+
+  bool operator==(const TaskRecord &) const = default;
+};
+
+enum class JobState { Active, Completed, Failed, Cancelled };
+
+/// A job with all that is durable about it.
+struct Job {
+  JobId Id;
+  QueuePlace Place;
+  QueueName Queue;
+  ServiceId Service;
+  /// 0 goes first.
+  std::uint32_t Priority = 0;
+  /// A task that has failed this often fails the job.
+  std::uint32_t MaxFailures = 1;
+  /// The term of the leader that accepted it.
+  LeaderTerm AcceptedIn;
+  JobSpec Spec;
+  JobState State = JobState::Active;
+  /// By step and index. Invariant: as the counts of Spec; empty once the job
+  /// is not active.
+  std::vector<std::vector<TaskRecord>> Tasks;
+
+  bool operator==(const Job &) const = default;
+};
+
+/// One task of one job.
+struct TaskId {
+  JobId Job;
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+
+  auto operator<=>(const TaskId &) const = default; // NOLINT
+  bool operator==(const TaskId &) const = default;
+};
+
+/// The recorded end of one run of a task.
+struct TaskEnd {
+  TaskId Task;
+  RunNumber Run;
+  /// Whether the task ended well; else it counts as a failure.
+  bool Succeeded = false;
+
+  bool operator==(const TaskEnd &) const = default;
+};
+
+/// A batch of changes, as one entry of the log.
+struct JobChanges {
+  std::vector<Job> Accepted;
+  std::vector<TaskEnd> Ended;
+  std::vector<JobId> Cancelled;
+  std::vector<JobId> Forgotten;
+
+  bool empty() const {
+    return Accepted.empty() && Ended.empty() && Cancelled.empty() &&
+           Forgotten.empty();
+  }
+  bool operator==(const JobChanges &) const = default;
+};
+
+} // namespace geraniumbay::jobs
+
+template <> struct std::hash<geraniumbay::jobs::TaskId> {
+  std::size_t operator()(const geraniumbay::jobs::TaskId &Id) const noexcept {
+    constexpr std::size_t Mix = 0x9E3779B97F4A7C15U;
+    std::size_t Value = std::hash<geraniumbay::jobs::JobId>()(Id.Job);
+    return (Value * Mix) ^ (Id.Step * Mix + Id.Index);
+  }
+};
+
+#endif // GERANIUMBAY_JOBS_JOBTYPES_H
