Send callers away from a stopping entry, and call no begun job refused

Cause: an entry kept connections open until its end, and took jobs that it could not wait for (LOST); a leader that lost its leadership over a begun job redirected the entry, which then said 'not run' (REFUSED). Entries look for a leader for 1.2 s, as long as an election takes.

--- a/src/framework/net/httpserver.cpp
+++ b/src/framework/net/httpserver.cpp
@@ -54,8 +54,12 @@
 /// The exchange of one h2o request; Req_ is null once h2o has freed it.
 class H2oExchange : public IHttpExchange {
 public:
-  H2oExchange(h2o_req_t *Req, std::set<H2oExchange *> &Waiting)
-      : Req_(Req), Request_(readRequest(Req)), Waiting_(Waiting) {
+  /// \p Closing outlives the exchange: whether connections close after their
+  /// answers.
+  H2oExchange(h2o_req_t *Req, std::set<H2oExchange *> &Waiting,
+              const bool &Closing)
+      : Req_(Req), Request_(readRequest(Req)), Waiting_(Waiting),
+        Closing_(Closing) {
     Waiting_.insert(this);
   }
   ~H2oExchange() override { Waiting_.erase(this); }
@@ -69,6 +73,8 @@
     end();
     Req->res.status = Response.Status;
     Req->res.reason = "";
+    if (Closing_)
+      Req->http1_is_persistent = 0;
     for (const HttpHeader &Header : Response.Headers)
       addHeader(Req, Header);
     h2o_send_inline(Req, Response.Body.data(), Response.Body.size());
@@ -121,6 +127,7 @@
   HttpRequest Request_;
   std::function<void()> Gone_;
   std::set<H2oExchange *> &Waiting_;
+  const bool &Closing_;
 };
 
 /// h2o's structures. The handler is found again from its C part.
@@ -151,6 +158,7 @@
   // also those that a handler still holds when the server is gone.
   std::shared_ptr<std::set<H2oExchange *>> Waiting =
       std::make_shared<std::set<H2oExchange *>>();
+  std::shared_ptr<bool> Closing = std::make_shared<bool>(false);
   std::size_t Connections = 0;
   h2o_globalconf_t Config{};
   h2o_context_t Context{};
@@ -190,9 +198,10 @@
   Impl *Owner = reinterpret_cast<RouteHandler *>(Self)->Owner;
   // The set must outlive the exchange, so the exchange's deleter holds it.
   auto Waiting = Owner->Waiting;
+  auto Closing = Owner->Closing;
   std::shared_ptr<H2oExchange> Exchange(
-      new H2oExchange(Req, *Waiting),
-      [Waiting](H2oExchange *Dead) { delete Dead; });
+      new H2oExchange(Req, *Waiting, *Closing),
+      [Waiting, Closing](H2oExchange *Dead) { delete Dead; });
   void *Memory =
       h2o_mem_alloc_shared(&Req->pool, sizeof(ExchangeRef), onRequestFreed);
   new (Memory) ExchangeRef{Exchange};
@@ -278,6 +287,8 @@
   return Opened.Address;
 }
 
+void HttpServer::closeAfterAnswers() { *Impl_->Closing = true; }
+
 void HttpServer::stopAccepting() {
   if (Impl_->Listening != nullptr)
     h2o_socket_close(Impl_->Listening);
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -38,6 +38,9 @@
 
   /// Listens on \p Address; port 0 takes a free one. Returns the address taken.
   RetVal<Endpoint> listen(const Endpoint &Address);
+  /// Lets each connection close after its next answer, so that clients come
+  /// back elsewhere; new connections are still accepted.
+  void closeAfterAnswers();
   /// Stops accepting connections and closes each kept one after its answer.
   void stopAccepting();
   /// How many requests have not been answered.
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr const char *Module = "jobs";
-/// How long a request may look for the leader. Beyond about this wait a short
-/// job is worth little to its caller, who is told to come back instead.
-constexpr Duration SearchTime = std::chrono::milliseconds(300);
+/// How long a request may look for the leader: the time in which one is
+/// elected. After it the caller is told to come back instead.
+constexpr Duration SearchTime = std::chrono::milliseconds(1200);
 constexpr Duration SearchPause = std::chrono::milliseconds(20);
 /// What callers are told to wait while there is no leader: an election takes
 /// one to two seconds.
@@ -130,6 +130,8 @@
     return tryAgain(What);
   }
   if (Result->isMember("leader")) {
+    if (Result->isMember("maybe_taken"))
+      What->MaybeTaken = true;
     follow(*Result);
     return tryAgain(What);
   }
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -15,7 +15,8 @@
 //     passed on to the leader
 //
 // A control VM that does not lead answers the jobs methods with {leader}, which
-// is empty while it knows none.
+// is empty while it knows none. One that has lost the leadership over a job
+// that it had taken adds {maybe_taken}.
 //
 //===----------------------------------------------------------------------===//
 
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -253,9 +253,12 @@
                                 "From a submission to its end.", {}, Took);
         logEvent(LogLevel::Info, Module, "job_answered",
                  {{"job", Id}, {"ok", Ended.ok()}, {"took_us", Took.count()}});
-        if (!Ended)
-          return Answer(redirection());
-        Answer(wire::write(endOf(*Ended)));
+        if (Ended)
+          return Answer(wire::write(endOf(*Ended)));
+        // Tasks of it may have started here.
+        Json::Value Elsewhere = redirection();
+        Elsewhere["maybe_taken"] = true;
+        Answer(std::move(Elsewhere));
       });
 }
 
