--- a/src/jobs/ijobgateway.h
+++ b/src/jobs/ijobgateway.h
@@ -8,6 +8,8 @@
 #ifndef GERANIUMBAY_JOBS_IJOBGATEWAY_H
 #define GERANIUMBAY_JOBS_IJOBGATEWAY_H
 
+#include "framework/clock/iclock.h"
+#include "framework/net/endpoint.h"
 #include "jobs/jobtypes.h"
 
 #include <functional>
@@ -57,10 +59,13 @@
   virtual void cancel(const JobRequest &Request, Callback Done) = 0;
   /// How many jobs wait in the queue at the request's path.
   virtual void pending(const JobRequest &Request, Callback Done) = 0;
-  /// Whether a leader that can serve has answered lately.
+  /// Whether this entry can serve.
   virtual bool ready() const = 0;
   /// Takes control VMs from changed settings beside those that are known.
   virtual void addControlVms(const std::vector<Endpoint> &Found) = 0;
+  /// The entry is about to stop: others take over what it decides. It goes on
+  /// to serve its callers.
+  virtual void prepareStop() = 0;
 };
 
 } // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/entryask.h
@@ -0,0 +1,31 @@
+//===- entryask.h - A caller's job on its way through an entry --*- C++ -*-===//
+//
+// The state of one transient job between its caller and the owner of the pool.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_ENTRYASK_H
+#define GERANIUMBAY_JOBS_INTERNAL_ENTRYASK_H
+
+#include "jobs/internal/entryjobs.h"
+
+namespace geraniumbay::jobs {
+
+struct EntryJobs::Ask {
+  Job Wanted;
+  Callback Done;
+  /// The caller waits until then.
+  Time GiveUp;
+  /// Without an owner the job is given up then.
+  Time SearchUntil;
+  /// Counts the sendings; the answers to earlier ones are late.
+  std::uint64_t Attempt = 0;
+  /// Where it was sent last; unset while it waits for an owner.
+  std::optional<OwnerClaim> SentTo;
+  /// An owner may have started tasks of it.
+  bool MaybeTaken = false;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_ENTRYASK_H
--- /dev/null
+++ b/src/jobs/internal/entryjobs.cpp
@@ -0,0 +1,238 @@
+//===- entryjobs.cpp - Jobs on an entry -----------------------------------===//
+//
+// Callers' requests, and transient jobs on their way to the owner of the pool.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/entryjobs.h"
+
+#include "framework/log/log.h"
+#include "jobs/internal/entryask.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
+#include "jobs/internal/submission.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// How long a job may look for an owner: the time in which one is replaced.
+/// After it the caller is told to come back instead.
+constexpr Duration SearchTime = std::chrono::milliseconds(1300);
+/// What the caller is told to wait then.
+constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
+/// Left to the owner's answer for its way back.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
+
+JobAnswer outcome(JobOutcome What, std::string Reason = "") {
+  JobAnswer Result;
+  Result.Outcome = What;
+  Result.Reason = std::move(Reason);
+  return Result;
+}
+
+JobAnswer notTaken(std::string Reason) {
+  JobAnswer Result = outcome(JobOutcome::NotTaken, std::move(Reason));
+  Result.RetryAfter = RetryAfterNoOwner;
+  return Result;
+}
+
+} // namespace
+
+EntryJobs::EntryJobs(EntryNeeds Needs, Endpoint Self,
+                     std::vector<Endpoint> ControlVms, RoutingReader Reader,
+                     LeaseSettings Lease)
+    : Needs_(Needs), Self_(std::move(Self)), Reader_(std::move(Reader)),
+      Lease_(Lease),
+      Control_(std::move(ControlVms), Needs.Client, Needs.Clock, Needs.Timers,
+               {[this] { return askControl(); },
+                [this](const Json::Value &Result) { takeControl(Result); }}) {
+  View_.Self = Self_;
+  View_.Started = Needs_.Clock.now();
+  takeEntries(View_, {});
+}
+
+void EntryJobs::start() {
+  Needs_.Server.method(wire::method::Ping,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         answerPing(Params, Answer);
+                       });
+  Needs_.Server.method(wire::method::Run,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         answerRun(Params, Answer);
+                       });
+  Control_.start();
+  tick();
+  pingAll();
+}
+
+bool EntryJobs::ready() const {
+  if (RoutingFrom_ == ConfigVersion(0) || View_.Stopping)
+    return false;
+  if (ControlSchedules_)
+    return Control_.ready();
+  return View_.Owner.Token != FencingToken(0) &&
+         isAlive(View_, View_.Owner.At, Needs_.Clock.now());
+}
+
+void EntryJobs::submit(const JobRequest &Request, const JobSpec &Spec,
+                       Callback Done) {
+  if (RoutingFrom_ == ConfigVersion(0))
+    return Done(notTaken("this entry has no configuration yet"));
+  QueueMatch Where = findQueue(Routing_, Request.Host, Request.Path);
+  if (!Where.Found)
+    return Done(outcome(JobOutcome::NoQueue));
+  if (!Spec.Transient || ControlSchedules_)
+    return Control_.submit(Request, Spec, std::move(Done));
+  Time Now = Needs_.Clock.now();
+  auto What = std::make_shared<Ask>();
+  What->Wanted = newJob(Where, Spec);
+  What->Done = std::move(Done);
+  What->GiveUp = Now + Request.Timeout;
+  What->SearchUntil = Now + SearchTime;
+  Asks_.insert(What);
+  dispatch(What);
+}
+
+void EntryJobs::state(const JobRequest &Request, Callback Done) {
+  if (RoutingFrom_ != ConfigVersion(0) &&
+      !findQueue(Routing_, Request.Host, Request.Path).Found)
+    return Done(outcome(JobOutcome::NoQueue));
+  Control_.state(Request, std::move(Done));
+}
+
+void EntryJobs::cancel(const JobRequest &Request, Callback Done) {
+  if (RoutingFrom_ != ConfigVersion(0) &&
+      !findQueue(Routing_, Request.Host, Request.Path).Found)
+    return Done(outcome(JobOutcome::NoQueue));
+  Control_.cancel(Request, std::move(Done));
+}
+
+void EntryJobs::pending(const JobRequest &Request, Callback Done) {
+  if (RoutingFrom_ == ConfigVersion(0))
+    return Done(notTaken("this entry has no configuration yet"));
+  if (!findQueue(Routing_, Request.Host, Request.Path).Found)
+    return Done(outcome(JobOutcome::NoQueue));
+  if (ControlSchedules_)
+    return Control_.pending(Request, std::move(Done));
+  // Transient jobs are not accepted before they end, so none is pending.
+  Done(outcome(JobOutcome::Known));
+}
+
+void EntryJobs::dispatch(const AskPtr &What) {
+  Time Now = Needs_.Clock.now();
+  ++What->Attempt;
+  What->SentTo.reset();
+  bool Owned = View_.Owner.Token != FencingToken(0) &&
+               isAlive(View_, View_.Owner.At, Now);
+  if (!Owned)
+    return park(What);
+  What->SentTo = View_.Owner;
+  if (!Scheduler_ || !ownsPool(View_))
+    return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
+  Scheduler_->run(What->Wanted, What->GiveUp - Now, Self_,
+                  [this, What, Attempt = What->Attempt](
+                      const Outcome<JobState> &Ended) {
+                    if (Attempt != What->Attempt)
+                      return;
+                    if (Ended)
+                      return finish(What, answerOfEnd(*Ended));
+                    What->MaybeTaken = true;
+                    park(What);
+                  });
+}
+
+void EntryJobs::sendToOwner(const AskPtr &What) {
+  Duration Left = What->GiveUp - Needs_.Clock.now();
+  Json::Value Params(Json::objectValue);
+  Params["job"] = wire::write(What->Wanted);
+  Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
+  Params["origin"] = Self_.text();
+  Endpoint To = What->SentTo->At;
+  Needs_.Client.call(To, wire::method::Run, std::move(Params),
+                     std::max(Left, Duration(0)) + AnswerMargin,
+                     [this, What, To, Attempt = What->Attempt](
+                         const Outcome<Json::Value> &Result) {
+                       answered(What, Attempt, To, Result);
+                     });
+}
+
+void EntryJobs::answered(const AskPtr &What, std::uint64_t Attempt,
+                         const Endpoint &From,
+                         const Outcome<Json::Value> &Result) {
+  if (Result && !Result->isMember("not_owner")) {
+    // The answer to an earlier sending is as good as any.
+    auto Answer = attempt([&] { return wire::readAnswer(*Result); });
+    if (Answer && (Attempt == What->Attempt ||
+                   Answer->Outcome == JobOutcome::Known))
+      return finish(What, *Answer);
+  }
+  if (Attempt != What->Attempt)
+    return;
+  bool Refused = !Result && Result.error().Code == ErrorCode::Refused;
+  if (Refused)
+    noteRefused(View_, From);
+  if (!Result && !Refused)
+    What->MaybeTaken = true;
+  if (Result) {
+    takeClaim(*Result);
+    if (Result->isMember("maybe_taken"))
+      What->MaybeTaken = true;
+  }
+  What->SearchUntil = Needs_.Clock.now() + SearchTime;
+  park(What);
+}
+
+void EntryJobs::park(const AskPtr &What) {
+  // The tick sends it once there is an owner, or gives it up.
+  What->SentTo.reset();
+}
+
+void EntryJobs::redispatchParked() {
+  Time Now = Needs_.Clock.now();
+  std::vector<AskPtr> Due;
+  for (const AskPtr &What : Asks_)
+    // One that waits for an owner who is no more is sent to the next.
+    if (!What->SentTo || What->SentTo->Token != View_.Owner.Token)
+      Due.push_back(What);
+  for (const AskPtr &What : Due) {
+    if (What->SentTo) {
+      What->MaybeTaken = true;
+      What->SearchUntil = Now + SearchTime;
+    }
+    if (Now >= std::min(What->SearchUntil, What->GiveUp))
+      finish(What, What->MaybeTaken
+                       ? outcome(JobOutcome::Unknown, "the owner was lost")
+                       : notTaken("no owner of the workers was found"));
+    else
+      dispatch(What);
+  }
+}
+
+void EntryJobs::finish(const AskPtr &What, const JobAnswer &Answer) {
+  if (Asks_.erase(What) == 0)
+    return;
+  ++What->Attempt;
+  bool Served = Answer.Outcome == JobOutcome::Known;
+  if (!Served)
+    logEvent(LogLevel::Info, Module, "job_not_served",
+             {{"job", What->Wanted.Id},
+              {"outcome", static_cast<int>(Answer.Outcome)},
+              {"reason", Answer.Reason}});
+  // "Not run" must be true of every owner that had the job.
+  if (Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken)
+    return What->Done(outcome(JobOutcome::Unknown, Answer.Reason));
+  What->Done(Answer);
+}
+
+void EntryJobs::prepareStop() {
+  View_.Stopping = true;
+  followOwner();
+  for (const Endpoint &To : pingTargets(View_, Needs_.Clock.now()))
+    ping(To);
+}
+
+} // namespace geraniumbay::jobs
--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -32,7 +32,7 @@
 void JobService::passOn(const char *Method, Json::Value Params, bool Forwarded,
                         std::function<void(Outcome<Json::Value>)> Done) {
   auto Leader = Needs_.Log.leaderAddress();
-  if (Forwarded || !Leader || Scheduler_)
+  if (Forwarded || !Leader || Term_)
     return Done(Error{ErrorCode::Unavailable, "there is no leader now"});
   Needs_.Client.call(*Leader, Method, std::move(Params), PassOnTimeout,
                      std::move(Done));
@@ -46,7 +46,8 @@
                                   const Acknowledge &Done) {
   announce(Directory_, Info, Needs_.Clock.now());
   if (serves()) {
-    Scheduler_->takeWorkers(Directory_);
+    if (Scheduler_)
+      Scheduler_->takeWorkers(Directory_);
     return Done(geraniumbay::Done{});
   }
   Json::Value Params(Json::objectValue);
@@ -63,7 +64,8 @@
                            const Acknowledge &Done) {
   leave(Directory_, Worker);
   if (serves()) {
-    Scheduler_->takeWorkers(Directory_);
+    if (Scheduler_)
+      Scheduler_->takeWorkers(Directory_);
     return Done(geraniumbay::Done{});
   }
   Json::Value Params(Json::objectValue);
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -25,7 +25,9 @@
 /// What callers are told to wait while there is no leader: an election takes
 /// one to two seconds.
 constexpr Duration RetryAfterNoLeader = std::chrono::seconds(1);
-constexpr Duration ProbeInterval = std::chrono::milliseconds(500);
+/// How often changes of the configuration and of the workers are asked for. A
+/// worker that drains must get no work two seconds after it was acknowledged.
+constexpr Duration ProbeInterval = std::chrono::milliseconds(300);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
 /// A leader that has not confirmed itself for this long may be none any more.
 constexpr Duration ReadyFor = std::chrono::milliseconds(2500);
@@ -44,9 +46,9 @@
 };
 
 JobGateway::JobGateway(std::vector<Endpoint> ControlVms, IRpcClient &Client,
-                       const IClock &Clock, ITimers &Timers)
+                       const IClock &Clock, ITimers &Timers, Sync Exchange)
     : ControlVms_(std::move(ControlVms)), Client_(Client), Clock_(Clock),
-      Timers_(Timers) {
+      Timers_(Timers), Exchange_(std::move(Exchange)) {
   assert(!ControlVms_.empty() && "the settings name a control VM");
 }
 
@@ -180,8 +182,7 @@
 
 void JobGateway::probe() {
   Endpoint To = target();
-  Client_.call(To, wire::method::Leader, Json::Value(Json::objectValue),
-               ProbeTimeout, [this, To](const Outcome<Json::Value> &Result) {
+  Client_.call(To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout, [this, To](const Outcome<Json::Value> &Result) {
                  probed(To, Result);
                });
   Timers_.after(ProbeInterval, [this] { probe(); });
@@ -191,6 +192,7 @@
                         const Outcome<Json::Value> &Result) {
   if (!Result)
     return lost(From, Result.error().Message.c_str());
+  Exchange_.Take(*Result);
   auto Members = attempt([&] { return json::readArray(*Result, "members"); });
   if (Members)
     for (const Json::Value &Each : *Members) {
--- a/src/jobs/internal/jobgateway.h
+++ b/src/jobs/internal/jobgateway.h
@@ -17,24 +17,31 @@
 
 namespace geraniumbay::jobs {
 
-class JobGateway : public IJobGateway {
+class JobGateway {
 public:
+  using Callback = IJobGateway::Callback;
+  /// Makes the question that is put to control VMs from time to time, and takes
+  /// their answers.
+  struct Sync {
+    std::function<Json::Value()> Ask;
+    std::function<void(const Json::Value &)> Take;
+  };
+
   /// \p ControlVms are those that the settings name; others are learned. All
   /// references outlive the gateway, which lives as long as the loop.
   JobGateway(std::vector<Endpoint> ControlVms, IRpcClient &Client,
-             const IClock &Clock, ITimers &Timers);
+             const IClock &Clock, ITimers &Timers, Sync Exchange);
 
-  void submit(const JobRequest &Request, const JobSpec &Spec,
-              Callback Done) override;
-  void state(const JobRequest &Request, Callback Done) override;
-  void cancel(const JobRequest &Request, Callback Done) override;
-  void pending(const JobRequest &Request, Callback Done) override;
-  bool ready() const override;
+  void submit(const JobRequest &Request, const JobSpec &Spec, Callback Done);
+  void state(const JobRequest &Request, Callback Done);
+  void cancel(const JobRequest &Request, Callback Done);
+  void pending(const JobRequest &Request, Callback Done);
+  /// Whether a leader that can serve has answered lately.
+  bool ready() const;
 
-  /// Looks for the leader from time to time; called once.
+  /// Starts to look for the leader and to exchange what changes; called once.
   void start();
-  /// Takes control VMs from changed settings beside those that are known.
-  void addControlVms(const std::vector<Endpoint> &Found) override;
+  void addControlVms(const std::vector<Endpoint> &Found);
 
 private:
   struct Ask;
@@ -56,6 +63,7 @@
   IRpcClient &Client_;
   const IClock &Clock_;
   ITimers &Timers_;
+  const Sync Exchange_;
   std::optional<Endpoint> Leader_;
   std::size_t NextVm_ = 0;
   /// When a leader last said that it can serve.
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -7,7 +7,15 @@
 //   jobs.state   {host, path} -> answer
 //   jobs.cancel  {host, path} -> answer
 //   jobs.pending {host, path} -> answer
-//   jobs.leader  {} -> {leader, ready, members}
+//   jobs.sync    {entry, configuration, workers_of, workers_change}
+//     -> {leader, ready, members, schedules, configuration, document?,
+//         workers_of?, workers_change?, workers?, entries?}
+//     from an entry: what has changed since what it has. Only the leader tells
+//     of workers and entries.
+//   pool.ping    {from, owner, token, echo_us, stopping}
+//     -> {owner, token, stamp_us, stopping}
+//   pool.run     {job, left_us, origin} -> answer, or {owner, token, not_owner}
+//     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.share {workers, left} -> {}: from the leader to the others
@@ -33,7 +41,9 @@
 constexpr const char *State = "jobs.state";
 constexpr const char *Cancel = "jobs.cancel";
 constexpr const char *Pending = "jobs.pending";
-constexpr const char *Leader = "jobs.leader";
+constexpr const char *Sync = "jobs.sync";
+constexpr const char *Ping = "pool.ping";
+constexpr const char *Run = "pool.run";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
 constexpr const char *Share = "workers.share";
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -9,6 +9,7 @@
 #include "framework/log/log.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobwire.h"
+#include "jobs/internal/submission.h"
 
 namespace geraniumbay::jobs {
 
@@ -22,6 +23,8 @@
 /// What callers wait when a leader is just taking over.
 constexpr Duration RetryAfterChange = std::chrono::milliseconds(500);
 
+/// An entry that has not asked for so long is gone.
+constexpr Duration EntrySilence = std::chrono::seconds(60);
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
 
@@ -54,32 +57,6 @@
   return Result;
 }
 
-/// The answer to callers that waited for a transient job. One that was
-/// cancelled had not begun.
-JobAnswer endOf(JobState Ended) {
-  if (Ended == JobState::Cancelled) {
-    JobAnswer Result = outcome(JobOutcome::NotTaken, "no worker was free");
-    Result.RetryAfter = RetryAfterChange;
-    return Result;
-  }
-  JobAnswer Result = outcome(JobOutcome::Known);
-  Result.State = Ended;
-  return Result;
-}
-
-Job newJob(const QueueMatch &Where, JobSpec Spec) {
-  const Queue &In = *Where.Found;
-  Job Result;
-  Result.Id = JobId(Where.Rest);
-  Result.Place = In.Place;
-  Result.Queue = In.Name;
-  Result.Service = In.Service;
-  Result.Priority = In.Priority;
-  Result.MaxFailures = In.MaxFailures;
-  Result.Spec = std::move(Spec);
-  return Result;
-}
-
 } // namespace
 
 JobService::JobService(JobServiceNeeds Needs, RoutingReader Reader,
@@ -106,9 +83,7 @@
   Offer(wire::method::Cancel, &JobService::cancel);
   Offer(wire::method::Pending, &JobService::pending);
   Offer(wire::method::Share, &JobService::takeShared);
-  Needs_.Server.method(wire::method::Leader,
-                       [this](const Json::Value & /*Params*/,
-                              const Reply &Answer) { tellLeader(Answer); });
+  Offer(wire::method::Sync, &JobService::sync);
   auto Acknowledged = [](const Reply &Answer) {
     return [Answer](const Outcome<Done> &Was) {
       if (Was)
@@ -168,18 +143,36 @@
               {"reason", Read ? "" : Read.error().Message.c_str()}});
   }
   auto Term = Needs_.Log.leadsIn();
-  if (Scheduler_ && Term == Scheduler_->term())
+  if (Term == Term_)
     return;
-  if (Scheduler_)
+  if (Term_)
     logEvent(LogLevel::Warning, Module, "leads_no_more",
-             {{"term", Scheduler_->term().value()}});
+             {{"term", Term_->value()}});
   Scheduler_.reset();
+  Term_ = Term;
   if (!Term)
     return;
-  Scheduler_ = std::make_unique<Scheduler>(
-      SchedulerNeeds{Needs_.Log, Needs_.Store, Needs_.Workers, Needs_.Clock,
-                     Needs_.Timers, Needs_.Measured},
-      *Term, Lease_);
+  logEvent(LogLevel::Info, Module, "leads",
+           {{"term", Term->value()}, {"workers", Directory_.Workers.size()}});
+  if (!Needs_.Store.Jobs.empty())
+    engage();
+}
+
+void JobService::engage() {
+  if (Scheduler_)
+    return;
+  SchedulerNeeds Needs{[this] { return Needs_.Log.holdsLease(); },
+                       [] {
+                         // A later leader; this one hears of it by the log.
+                       },
+                       &Needs_.Log,
+                       Needs_.Store,
+                       Needs_.Workers,
+                       Needs_.Clock,
+                       Needs_.Timers,
+                       Needs_.Measured};
+  Scheduler_ =
+      std::make_unique<Scheduler>(std::move(Needs), tokenOf(*Term_), Lease_);
   Scheduler_->takeWorkers(Directory_);
 }
 
@@ -192,19 +185,56 @@
 
 Json::Value JobService::redirection() const {
   Json::Value Result(Json::objectValue);
-  auto Leader = Scheduler_ ? std::nullopt : Needs_.Log.leaderAddress();
+  auto Leader = Term_ ? std::nullopt : Needs_.Log.leaderAddress();
   Result["leader"] = Leader ? Leader->text() : "";
   return Result;
 }
 
-void JobService::tellLeader(const Reply &Answer) const {
+void JobService::sync(const Json::Value &Params, const Reply &Answer) {
   Json::Value Result = redirection();
   Result["ready"] = serves() && !Stopping_;
+  Result["schedules"] = Scheduler_ != nullptr;
   for (const Endpoint &Member : Needs_.Log.memberAddresses())
     Result["members"].append(Member.text());
+  const control::ConfigSnapshot &Config = Needs_.Log.configuration();
+  auto Has =
+      attempt([&] { return json::readUintOr(Params, "configuration", 0); });
+  if (Has && ConfigVersion(*Has) < Config.Version) {
+    Result["configuration"] = Json::UInt64(Config.Version.value());
+    Result["document"] = Config.Document;
+  }
+  if (serves())
+    tellWorkers(Params, Result);
   Answer(std::move(Result));
 }
 
+void JobService::tellWorkers(const Json::Value &Params, Json::Value &Into) {
+  Time Now = Needs_.Clock.now();
+  auto From = attempt([&]() -> RetVal<Endpoint> {
+    BOOST_LEAF_AUTO(Text, json::readString(Params, "entry"));
+    return parseEndpoint(Text);
+  });
+  if (From)
+    Entries_[*From] = Now;
+  std::erase_if(Entries_, [&](const auto &Entry) {
+    return Now - Entry.second >= EntrySilence;
+  });
+  for (const auto &[At, Heard] : Entries_)
+    Into["entries"].append(At.text());
+  auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
+  auto Change =
+      attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
+  bool Current = Of && Change && *Of == Term_->value() &&
+                 *Change == Directory_.Changes;
+  if (Current)
+    return;
+  Into["workers_of"] = Json::UInt64(Term_->value());
+  Into["workers_change"] = Json::UInt64(Directory_.Changes);
+  Into["workers"] = Json::Value(Json::arrayValue);
+  for (const auto &[Id, Known] : Directory_.Workers)
+    Into["workers"].append(write(Known.Info));
+}
+
 void JobService::submit(const Json::Value &Params, const Reply &Answer) {
   if (!serves() || Stopping_)
     return Answer(redirection());
@@ -216,6 +246,7 @@
   QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
   if (!Where.Found)
     return Answer(wire::write(outcome(JobOutcome::NoQueue)));
+  engage();
   if (Spec->Transient)
     return runTransient(newJob(Where, std::move(*Spec)), Params, Answer);
   if (findJob(Needs_.Store, JobId(Where.Rest)))
@@ -246,7 +277,7 @@
   Time Began = Needs_.Clock.now();
   JobId Id = New.Id;
   Scheduler_->run(
-      std::move(New), Patience,
+      std::move(New), Patience, Endpoint(),
       [this, Answer, Id, Began](const Outcome<JobState> &Ended) {
         Duration Took = Needs_.Clock.now() - Began;
         Needs_.Measured.observe("geraniumbay_transient_job_seconds",
@@ -254,7 +285,7 @@
         logEvent(LogLevel::Info, Module, "job_answered",
                  {{"job", Id}, {"ok", Ended.ok()}, {"took_us", Took.count()}});
         if (Ended)
-          return Answer(wire::write(endOf(*Ended)));
+          return Answer(wire::write(answerOfEnd(*Ended)));
         // Tasks of it may have started here.
         Json::Value Elsewhere = redirection();
         Elsewhere["maybe_taken"] = true;
@@ -276,7 +307,7 @@
   JobAnswer Result = outcome(Found ? JobOutcome::Known : JobOutcome::NoJob);
   if (Found) {
     Result.State = Found->State;
-    Result.Begun = Scheduler_->hasBegun(Found->Id);
+    Result.Begun = Scheduler_ && Scheduler_->hasBegun(Found->Id);
   }
   Answer(wire::write(Result));
 }
@@ -296,6 +327,7 @@
     return Answer(wire::write(outcome(JobOutcome::NoJob)));
   if (Found->State != JobState::Active)
     return Answer(wire::write(outcome(JobOutcome::Cancelled)));
+  engage();
   Scheduler_->cancel(Found->Id, [Answer](const Outcome<Done> &Was) {
     Answer(wire::write(Was ? outcome(JobOutcome::Cancelled)
                            : unconfirmed(Was.error())));
@@ -312,17 +344,17 @@
   QueueMatch Where = findQueue(Routing_, At->Host, At->Path);
   JobAnswer Result =
       outcome(Where.Found ? JobOutcome::Known : JobOutcome::NoQueue);
-  if (Where.Found)
+  if (Where.Found && Scheduler_)
     Result.Pending = Scheduler_->pending(Where.Found->Name);
   Answer(wire::write(Result));
 }
 
 void JobService::prepareStop(std::function<void()> Done) {
-  if (!Scheduler_)
+  if (!Term_)
     return Done();
   if (!Stopping_)
     logEvent(LogLevel::Info, Module, "hands_over",
-             {{"term", Scheduler_->term().value()}});
+             {{"term", Term_->value()}});
   Stopping_ = true;
   Needs_.Log.handOver();
   // What is under way is committed first, so it may take a few tries.
@@ -333,7 +365,7 @@
 }
 
 void JobService::shareWorkers() {
-  if (Scheduler_) {
+  if (Term_) {
     Json::Value Params(Json::objectValue);
     for (const auto &[Id, Known] : Directory_.Workers)
       Params["workers"].append(write(Known.Info));
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -54,7 +54,7 @@
   void shareWorkers();
   void takeShared(const Json::Value &Params, const Reply &Answer);
   Json::Value redirection() const;
-  bool serves() const { return Scheduler_ && Needs_.Log.holdsLease(); }
+  bool serves() const { return Term_ && Needs_.Log.holdsLease(); }
 
   // Entries.
   void submit(const Json::Value &Params, const Reply &Answer);
@@ -62,7 +62,11 @@
   void state(const Json::Value &Params, const Reply &Answer);
   void cancel(const Json::Value &Params, const Reply &Answer);
   void pending(const Json::Value &Params, const Reply &Answer);
-  void tellLeader(const Reply &Answer) const;
+  void tellWorkers(const Json::Value &Params, Json::Value &Into);
+  void sync(const Json::Value &Params, const Reply &Answer);
+  /// Starts to schedule: from the first durable job on, the leader of the log
+  /// owns the workers.
+  void engage();
 
   // Passed on to the leader. Forwarded messages are not passed on again.
   void passOn(const char *Method, Json::Value Params, bool Forwarded,
@@ -79,7 +83,12 @@
   const JobServiceNeeds Needs_;
   const RoutingReader Reader_;
   const LeaseSettings Lease_;
+  /// The term in which this VM leads.
+  std::optional<control::LeaderTerm> Term_;
+  /// Of a leader with durable jobs.
   std::unique_ptr<Scheduler> Scheduler_;
+  /// Entries, and when each was last heard.
+  std::map<Endpoint, Time> Entries_;
   WorkerDirectory Directory_;
   Routing Routing_;
   /// The version of the configuration that Routing_ was read from.
--- a/src/jobs/internal/jobwire.cpp
+++ b/src/jobs/internal/jobwire.cpp
@@ -82,6 +82,8 @@
                     RunNumber(From[2].asUInt64())};
 }
 
+} // namespace
+
 Json::Value write(const Job &Value) {
   Json::Value Result(Json::objectValue);
   Result["id"] = Value.Id.value();
@@ -98,6 +100,8 @@
   return Result;
 }
 
+namespace {
+
 RetVal<JobState> readState(const Json::Value &From) {
   BOOST_LEAF_AUTO(Number, readSmall(From, "state"));
   if (Number > static_cast<std::uint32_t>(JobState::Cancelled))
@@ -105,6 +109,8 @@
   return static_cast<JobState>(Number);
 }
 
+} // namespace
+
 RetVal<Job> readJob(const Json::Value &From) {
   Job Result;
   BOOST_LEAF_AUTO(Id, json::readString(From, "id"));
@@ -118,7 +124,7 @@
   BOOST_LEAF_ASSIGN(Result.Priority, readSmall(From, "priority"));
   BOOST_LEAF_ASSIGN(Result.MaxFailures, readSmall(From, "failures"));
   BOOST_LEAF_AUTO(Term, json::readUintOr(From, "term", 0));
-  Result.AcceptedIn = LeaderTerm(Term);
+  Result.AcceptedIn = FencingToken(Term);
   BOOST_LEAF_ASSIGN(Result.State, readState(From));
   if (!From.isMember("spec"))
     return Result;
@@ -126,6 +132,8 @@
   return Result;
 }
 
+namespace {
+
 Json::Value writeTasks(const Job &Value) {
   Json::Value Result(Json::arrayValue);
   for (const auto &Step : Value.Tasks) {
--- a/src/jobs/internal/jobwire.h
+++ b/src/jobs/internal/jobwire.h
@@ -16,6 +16,9 @@
 Json::Value write(const JobSpec &Value);
 RetVal<JobSpec> readSpec(const Json::Value &From);
 
+Json::Value write(const Job &Value);
+RetVal<Job> readJob(const Json::Value &From);
+
 std::string writeChanges(const JobChanges &Value);
 RetVal<JobChanges> readChanges(const std::string &Text);
 
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -21,8 +21,8 @@
 /// A worker that refused a task is left alone for this long: about the time in
 /// which it ends a task.
 constexpr Duration RestAfterRefusal = std::chrono::milliseconds(100);
-/// The first run of a task that another leader may have started is numbered
-/// from its term, so that it is above all numbers of earlier leaders.
+/// The first run of a durable job's task that another leader may have started is
+/// numbered from its term, so that it is above all numbers of earlier leaders.
 constexpr std::uint64_t RunsPerTerm = 1000;
 
 bool carries(const WorkerInfo &Info, const std::string &Label) {
@@ -59,7 +59,7 @@
 }
 
 void Scheduler::schedule() {
-  if (!Needs_.Log.holdsLease())
+  if (!Needs_.MayOrder())
     return;
   Time Now = Needs_.Clock.now();
   std::size_t Skipped = 0;
@@ -104,8 +104,9 @@
 }
 
 RunNumber Scheduler::nextRun(const Job &Of, const TaskId &Task) {
+  bool Own = Of.Spec.Transient || Of.AcceptedIn == Token_;
   std::uint64_t First =
-      Of.AcceptedIn == Term_ ? 1 : Term_.value() * RunsPerTerm + 1;
+      Own ? 1 : termOf(Token_).value() * RunsPerTerm + 1;
   std::uint64_t Recorded = taskOf(Task)->LastEnded.value();
   RunNumber &Last = LastRuns_[Task];
   Last = RunNumber(std::max({Last.value() + 1, First, Recorded + 1}));
@@ -120,7 +121,7 @@
   Order.Run = nextRun(Of, Task.Id);
   Order.Payload = Of.Spec.Payload;
   Order.LeaseUntil = leaseUntil(On, Lease_, Now);
-  Order.Token = Term_;
+  Order.Token = Token_;
   noteLease(On, Lease_, Now);
   addRun(On, Task.Id,
          Run{Order.Run, Task.Needs, Now, false, false, Order.LeaseUntil});
@@ -132,7 +133,7 @@
             {"index", Task.Id.Index},
             {"run", Order.Run.value()},
             {"worker", On.Info.Worker},
-            {"term", Term_.value()}});
+            {"token", Token_.value()}});
   Needs_.Workers.start({On.Info.Worker, On.Info.At}, Order,
                        [this, Alive = Alive_, Worker = On.Info.Worker,
                         Id = Task.Id, Number = Order.Run](StartAnswer Answer) {
@@ -151,6 +152,8 @@
     return;
   if (Answer.Result == StartResult::Gone)
     return dropWorker(Worker, "another incarnation answered");
+  if (Answer.Result == StartResult::Fenced)
+    return Needs_.Fenced();
   auto Found = On->Runs.find(Task);
   if (Found == On->Runs.end() || Found->second.Number != Number)
     return;
@@ -169,7 +172,7 @@
             {"result", startResultName(Answer.Result)}});
   if (Answer.Result == StartResult::Unknown) {
     // A stop that arrives first makes the worker refuse the start later.
-    Needs_.Workers.stop({Worker, On->Info.At}, {Task, Number, Term_});
+    Needs_.Workers.stop({Worker, On->Info.At}, {Task, Number, Token_});
     return;
   }
   Time Now = Needs_.Clock.now();
--- /dev/null
+++ b/src/jobs/internal/poolowner.cpp
@@ -0,0 +1,197 @@
+//===- poolowner.cpp - An entry's part in owning the pool -----------------===//
+//
+// Pings, claims, and what the owner does for other entries.
+//
+//===----------------------------------------------------------------------===//
+
+#include "framework/log/log.h"
+#include "jobs/internal/entryjobs.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
+#include "jobs/internal/submission.h"
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+constexpr Duration TickInterval = std::chrono::milliseconds(25);
+constexpr Duration PingTimeout = std::chrono::milliseconds(300);
+
+/// The owner's clock as a number that comes back to it.
+std::uint64_t stampOf(Time At) {
+  return static_cast<std::uint64_t>(At.time_since_epoch().count());
+}
+
+bool flag(const Json::Value &From, const char *Name) {
+  return From[Name].isBool() && From[Name].asBool();
+}
+
+} // namespace
+
+void EntryJobs::tick() {
+  Time Now = Needs_.Clock.now();
+  if (!ControlSchedules_) {
+    auto Claim = claimIfDue(View_, Now, Needs_.Clock.wallNow());
+    if (Claim)
+      logEvent(LogLevel::Info, Module, "pool_claimed",
+               {{"token", Claim->Token.value()},
+                {"entries", View_.Ranked.size()}});
+  }
+  followOwner();
+  dropSilentOrigins(Now);
+  redispatchParked();
+  Needs_.Timers.after(TickInterval, [this] { tick(); });
+}
+
+void EntryJobs::followOwner() {
+  bool Owns = ownsPool(View_) && !ControlSchedules_;
+  if (Scheduler_ && (!Owns || Scheduler_->token() != View_.Owner.Token)) {
+    logEvent(LogLevel::Warning, Module, "pool_let_go",
+             {{"token", Scheduler_->token().value()},
+              {"owner", View_.Owner.At.text()},
+              {"owner_token", View_.Owner.Token.value()}});
+    Scheduler_.reset();
+  }
+  if (!Owns || Scheduler_)
+    return;
+  SchedulerNeeds Needs{[this] { return ownsPool(View_); },
+                       [this] { noteFenced(View_, Needs_.Clock.now()); },
+                       nullptr,
+                       NoDurableJobs_,
+                       Needs_.Workers,
+                       Needs_.Clock,
+                       Needs_.Timers,
+                       Needs_.Measured};
+  LeaseSettings Lease = Lease_;
+  Lease.EarlierOwner = OwnerSilence;
+  Scheduler_ =
+      std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
+  Scheduler_->takeWorkers(Directory_);
+}
+
+void EntryJobs::dropSilentOrigins(Time Now) {
+  if (!Scheduler_)
+    return;
+  for (const Endpoint &Origin : Scheduler_->origins()) {
+    if (Origin == Self_ || Now - Contacts_[Origin] < OwnerSilence)
+      continue;
+    logEvent(LogLevel::Warning, Module, "entry_silent",
+             {{"entry", Origin.text()}});
+    Scheduler_->dropOrigin(Origin);
+  }
+}
+
+void EntryJobs::pingAll() {
+  for (const Endpoint &To : pingTargets(View_, Needs_.Clock.now()))
+    ping(To);
+  Needs_.Timers.after(PingInterval, [this] { pingAll(); });
+}
+
+Json::Value EntryJobs::writeClaim() const {
+  Json::Value Result(Json::objectValue);
+  Result["owner"] = View_.Owner.At.text();
+  Result["token"] = Json::UInt64(View_.Owner.Token.value());
+  return Result;
+}
+
+void EntryJobs::takeClaim(const Json::Value &From) {
+  auto Claim = attempt([&]() -> RetVal<OwnerClaim> {
+    BOOST_LEAF_AUTO(Token, json::readUint(From, "token"));
+    if (Token == 0)
+      return OwnerClaim();
+    BOOST_LEAF_AUTO(Text, json::readString(From, "owner"));
+    BOOST_LEAF_AUTO(At, parseEndpoint(Text));
+    return OwnerClaim{At, FencingToken(Token)};
+  });
+  if (Claim && noteClaim(View_, *Claim, Needs_.Clock.now()))
+    logEvent(LogLevel::Info, Module, "pool_owner",
+             {{"owner", Claim->At.text()}, {"token", Claim->Token.value()}});
+}
+
+void EntryJobs::ping(const Endpoint &To) {
+  if (!PingsUnderWay_.insert(To).second)
+    return;
+  Json::Value Params = writeClaim();
+  Params["from"] = Self_.text();
+  Params["echo_us"] = Json::UInt64(Echoes_[To]);
+  Params["stopping"] = View_.Stopping;
+  Needs_.Client.call(To, wire::method::Ping, std::move(Params), PingTimeout,
+                     [this, To, Sent = Needs_.Clock.now()](
+                         const Outcome<Json::Value> &Result) {
+                       pinged(To, Sent, Result);
+                     });
+}
+
+void EntryJobs::pinged(const Endpoint &To, Time Sent,
+                       const Outcome<Json::Value> &Result) {
+  PingsUnderWay_.erase(To);
+  if (!Result) {
+    // A refusal within the time of a round trip is the VM's own: no process
+    // listens there. A late one is a connection that never came about.
+    bool AtOnce = Needs_.Clock.now() - Sent < PingTimeout;
+    if (Result.error().Code == ErrorCode::Refused && AtOnce)
+      noteRefused(View_, To);
+    return;
+  }
+  noteAnswer(View_, To, flag(*Result, "stopping"), Sent);
+  Echoes_[To] = (*Result)["stamp_us"].isUInt64()
+                    ? (*Result)["stamp_us"].asUInt64()
+                    : 0;
+  takeClaim(*Result);
+}
+
+void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
+  auto From = attempt([&]() -> RetVal<Endpoint> {
+    BOOST_LEAF_AUTO(Text, json::readString(Params, "from"));
+    return parseEndpoint(Text);
+  });
+  if (!From)
+    return Answer(From.error());
+  takeClaim(Params);
+  if (flag(Params, "stopping"))
+    noteRefused(View_, *From);
+  // The echo is this entry's own clock; one from before its start means
+  // nothing, and one from the future is none of its own.
+  if (Params["echo_us"].isUInt64() && Params["echo_us"].asUInt64() != 0) {
+    Time Heard{Duration(
+        static_cast<Duration::rep>(Params["echo_us"].asUInt64()))};
+    Time &Contact = Contacts_[*From];
+    Contact = std::max(Contact, std::min(Heard, Needs_.Clock.now()));
+  }
+  Json::Value Result = writeClaim();
+  Result["stamp_us"] = Json::UInt64(stampOf(Needs_.Clock.now()));
+  Result["stopping"] = View_.Stopping;
+  Answer(std::move(Result));
+}
+
+void EntryJobs::answerRun(const Json::Value &Params, const Reply &Answer) {
+  auto Wanted = attempt([&] { return wire::readJob(Params["job"]); });
+  auto Origin = attempt([&]() -> RetVal<Endpoint> {
+    BOOST_LEAF_AUTO(Text, json::readString(Params, "origin"));
+    return parseEndpoint(Text);
+  });
+  auto Left = attempt([&] { return json::readUint(Params, "left_us"); });
+  if (!Wanted || !Origin || !Left)
+    return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
+  auto NotOwner = [this](bool MaybeTaken) {
+    Json::Value Result = writeClaim();
+    Result["not_owner"] = true;
+    if (MaybeTaken)
+      Result["maybe_taken"] = true;
+    return Result;
+  };
+  if (!Scheduler_ || !ownsPool(View_))
+    return Answer(NotOwner(false));
+  Time Now = Needs_.Clock.now();
+  Contacts_.try_emplace(*Origin, Now);
+  Scheduler_->run(std::move(*Wanted),
+                  Duration(static_cast<Duration::rep>(*Left)), *Origin,
+                  [Answer, NotOwner](const Outcome<JobState> &Ended) {
+                    if (Ended)
+                      return Answer(wire::write(answerOfEnd(*Ended)));
+                    Answer(NotOwner(true));
+                  });
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/poolview.cpp
@@ -0,0 +1,134 @@
+//===- poolview.cpp - Who owns the pool of workers ------------------------===//
+//
+// Ranks, health and claims.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/poolview.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+/// Tokens are wall milliseconds times this, plus a number of the entry, so that
+/// no two entries claim the same token.
+constexpr std::uint64_t TokensPerMilli = 64;
+/// A claim after a fencing by an unknown token goes up by so many milliseconds:
+/// more than clocks jump.
+constexpr std::uint64_t FencedStepMillis = 10000;
+
+std::uint64_t numberOf(const Endpoint &Entry) {
+  return std::hash<std::string>()(Entry.text()) % TokensPerMilli;
+}
+
+/// The first entry in rank that is alive; this one at the latest.
+Endpoint firstAlive(const PoolView &View, Time Now) {
+  for (const Endpoint &Entry : View.Ranked)
+    if (isAlive(View, Entry, Now))
+      return Entry;
+  return View.Self;
+}
+
+/// Whether enough time has passed, or all others were heard, so that an owner
+/// that is there would be known.
+bool hasLookedAround(const PoolView &View, Time Now) {
+  if (Now - View.Started >= DeadAfter)
+    return true;
+  return std::all_of(View.Ranked.begin(), View.Ranked.end(),
+                     [&](const Endpoint &Entry) {
+                       if (Entry == View.Self)
+                         return true;
+                       auto Found = View.Peers.find(Entry);
+                       return Found != View.Peers.end() &&
+                              (Found->second.Answered || Found->second.Away);
+                     });
+}
+
+} // namespace
+
+void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries) {
+  View.Ranked = Entries;
+  if (std::find(Entries.begin(), Entries.end(), View.Self) == Entries.end())
+    View.Ranked.push_back(View.Self);
+  std::sort(View.Ranked.begin(), View.Ranked.end());
+}
+
+void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping,
+                Time Sent) {
+  PeerHealth &Health = View.Peers[Peer];
+  if (Health.Answered && *Health.Answered > Sent)
+    return;
+  Health.Answered = Sent;
+  Health.Away = Stopping;
+}
+
+void noteRefused(PoolView &View, const Endpoint &Peer) {
+  View.Peers[Peer].Away = true;
+}
+
+bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now) {
+  View.Highest = std::max(View.Highest, Claim.Token);
+  if (Claim.Token <= View.Owner.Token)
+    return false;
+  View.Owner = Claim;
+  if (Claim.At != View.Self)
+    View.Peers[Claim.At] = {Now, false};
+  return true;
+}
+
+void noteFenced(PoolView &View, Time Now) {
+  View.NoClaimBefore = Now + FencedPause;
+  View.Highest = FencingToken(View.Highest.value() +
+                              FencedStepMillis * TokensPerMilli);
+  View.Owner = OwnerClaim();
+}
+
+bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now) {
+  if (Entry == View.Self)
+    return !View.Stopping;
+  auto Found = View.Peers.find(Entry);
+  return Found != View.Peers.end() && !Found->second.Away &&
+         Found->second.Answered && Now - *Found->second.Answered < DeadAfter;
+}
+
+bool ownsPool(const PoolView &View) {
+  return View.Owner.Token != FencingToken(0) && View.Owner.At == View.Self &&
+         !View.Stopping;
+}
+
+std::vector<Endpoint> pingTargets(const PoolView &View, Time Now) {
+  std::vector<Endpoint> Targets;
+  std::size_t Alive = 0;
+  for (const Endpoint &Entry : View.Ranked) {
+    if (Entry == View.Self || Alive >= PingedRanks)
+      continue;
+    Targets.push_back(Entry);
+    if (isAlive(View, Entry, Now))
+      ++Alive;
+  }
+  bool Owned = View.Owner.Token != FencingToken(0) && !ownsPool(View);
+  if (Owned && View.Owner.At != View.Self &&
+      std::find(Targets.begin(), Targets.end(), View.Owner.At) == Targets.end())
+    Targets.push_back(View.Owner.At);
+  return Targets;
+}
+
+std::optional<OwnerClaim> claimIfDue(PoolView &View, Time Now,
+                                     WallMillis Wall) {
+  bool Owned = View.Owner.Token != FencingToken(0) &&
+               isAlive(View, View.Owner.At, Now);
+  if (Owned || View.Stopping || Now < View.NoClaimBefore ||
+      !hasLookedAround(View, Now) || firstAlive(View, Now) != View.Self)
+    return std::nullopt;
+  std::uint64_t Millis =
+      std::max(static_cast<std::uint64_t>(std::max<WallMillis>(Wall, 0)),
+               View.Highest.value() / TokensPerMilli + 1);
+  View.Owner = {View.Self,
+                FencingToken(Millis * TokensPerMilli + numberOf(View.Self))};
+  View.Highest = View.Owner.Token;
+  return View.Owner;
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/poolview.h
@@ -0,0 +1,102 @@
+//===- poolview.h - Who owns the pool of workers ----------------*- C++ -*-===//
+//
+// How the entries agree on the one that schedules. No majority is needed, so
+// that a data centre that is cut off goes on with the workers that it reaches:
+// two owners at once do no harm, since
+//
+//   - a worker obeys only the highest fencing token it has seen, and
+//   - a job is at one owner at a time: its entry turns to another owner only
+//     after it has not heard the first for DeadAfter, and by then that owner,
+//     which has not heard the entry for OwnerSilence, has stopped the job.
+//
+// Entries are ranked. An owner stays the owner as long as it is alive; then the
+// first entry that is alive takes over with a higher token. Of two owners that
+// hear of each other the one with the higher token goes on.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_POOLVIEW_H
+#define GERANIUMBAY_JOBS_INTERNAL_POOLVIEW_H
+
+#include "framework/clock/iclock.h"
+#include "framework/net/endpoint.h"
+#include "jobs/jobtypes.h"
+
+#include <map>
+#include <optional>
+
+namespace geraniumbay::jobs {
+
+/// How often entries ping each other.
+constexpr Duration PingInterval = std::chrono::milliseconds(150);
+/// An entry that has not answered for so long counts as dead.
+constexpr Duration DeadAfter = std::chrono::milliseconds(900);
+/// An owner stops the jobs of an entry that has not confirmed for so long that
+/// it hears this owner. Below DeadAfter by two pings and the time of a stop.
+constexpr Duration OwnerSilence = std::chrono::milliseconds(500);
+/// An entry that was fenced without knowing by whom waits so long before it
+/// claims the pool again.
+constexpr Duration FencedPause = std::chrono::milliseconds(400);
+/// How many entries in front of the ranks are pinged beside the owner: those
+/// that may become the owner when others fail with it.
+constexpr std::size_t PingedRanks = 3;
+
+/// An entry's claim to own the pool.
+struct OwnerClaim {
+  Endpoint At;
+  /// 0 is no claim.
+  FencingToken Token;
+
+  bool operator==(const OwnerClaim &) const = default;
+};
+
+/// What is known of another entry.
+struct PeerHealth {
+  /// When the request was sent that it answered last.
+  std::optional<Time> Answered;
+  /// It has refused connections since, or says that it is stopping.
+  bool Away = false;
+};
+
+struct PoolView {
+  Endpoint Self;
+  Time Started;
+  /// All entries, this one included, by rank.
+  std::vector<Endpoint> Ranked;
+  std::map<Endpoint, PeerHealth> Peers;
+  OwnerClaim Owner;
+  /// Claims of this entry must be above it.
+  FencingToken Highest;
+  /// This entry makes no claim before this time.
+  Time NoClaimBefore;
+  /// This entry is about to stop: it does not claim, and lets go.
+  bool Stopping = false;
+};
+
+/// Takes the entries that there are.
+void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries);
+
+/// Notes an answer to a ping that was sent at \p Sent.
+void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping, Time Sent);
+/// Notes that the peer's VM refused the connection: its process is gone.
+void noteRefused(PoolView &View, const Endpoint &Peer);
+/// Notes a claim that was heard of. Returns whether the owner changed; a new
+/// owner counts as alive for now.
+bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now);
+/// Notes that a worker refused this owner's order: somebody else has claimed
+/// the workers, or had in a past that nobody remembers.
+void noteFenced(PoolView &View, Time Now);
+
+bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
+bool ownsPool(const PoolView &View);
+
+/// Whom to ping: the owner and the front of the ranks.
+std::vector<Endpoint> pingTargets(const PoolView &View, Time Now);
+
+/// Claims the pool for this entry if it is its turn; returns the claim. \p Wall
+/// makes tokens grow where no entry remembers the last one.
+std::optional<OwnerClaim> claimIfDue(PoolView &View, Time Now, WallMillis Wall);
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_POOLVIEW_H
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -1,4 +1,4 @@
-//===- scheduler.cpp - One leader's term of scheduling --------------------===//
+//===- scheduler.cpp - Scheduling under one fencing token -----------------===//
 //
 // Jobs: their way into the log, their tasks that may start, and their end.
 //
@@ -36,12 +36,14 @@
 
 } // namespace
 
-Scheduler::Scheduler(SchedulerNeeds Needs, LeaderTerm Term, LeaseSettings Lease)
-    : Needs_(Needs), Term_(Term), Lease_(Lease),
-      Batches_(Needs.Log, Needs.Timers),
-      // A leader gives no lease once it has lost its own, which it has before
-      // another can lead; so all that it gave is over one lease from now.
-      TakenOverAt_(Needs.Clock.now() + leaseBound(Lease)) {
+Scheduler::Scheduler(SchedulerNeeds Needs, FencingToken Token,
+                     LeaseSettings Lease)
+    : Needs_(std::move(Needs)), Token_(Token), Lease_(Lease),
+      Batches_(Needs_.Log
+                   ? std::make_unique<Batcher>(*Needs_.Log, Needs_.Timers)
+                   : nullptr),
+      TakenOverAt_(Needs_.Clock.now() + Lease.EarlierOwner +
+                   leaseBound(Lease)) {
   std::size_t Active = 0;
   for (const auto &[Id, Each] : Needs_.Store.Jobs) {
     if (Each.State == JobState::Active) {
@@ -52,15 +54,15 @@
     }
   }
   logEvent(LogLevel::Info, Module, "takes_over",
-           {{"term", Term.value()}, {"active_jobs", Active}});
+           {{"token", Token.value()}, {"active_jobs", Active}});
   tick();
 }
 
 Scheduler::~Scheduler() {
   *Alive_ = false;
-  for (auto &[Id, Waiting] : Waiters_)
-    for (const EndCallback &Run : Waiting.Callbacks)
-      Run(Error{ErrorCode::Unavailable, "leadership was lost"});
+  for (auto &[Id, Job] : Waiters_)
+    for (const Waiter &Each : Job.Waiting)
+      Each.Ended(Error{ErrorCode::Unavailable, "the pool has another owner"});
 }
 
 const Job *Scheduler::jobOf(const JobId &Id) const {
@@ -74,11 +76,11 @@
 }
 
 void Scheduler::accept(Job New, Callback Done) {
-  New.AcceptedIn = Term_;
+  New.AcceptedIn = Token_;
   JobChanges Changes;
   Changes.Accepted.push_back(std::move(New));
   JobId Id = Changes.Accepted.front().Id;
-  Batches_.add(std::move(Changes), [this, Alive = Alive_, Id,
+  Batches_->add(std::move(Changes), [this, Alive = Alive_, Id,
                                     Done = std::move(Done)](
                                        const Outcome<geraniumbay::Done> &Was) {
     Done(Was);
@@ -96,7 +98,7 @@
 void Scheduler::cancel(const JobId &Id, Callback Done) {
   JobChanges Changes;
   Changes.Cancelled.push_back(Id);
-  Batches_.add(std::move(Changes),
+  Batches_->add(std::move(Changes),
                [this, Alive = Alive_, Id, Done = std::move(Done)](
                    const Outcome<geraniumbay::Done> &Was) {
                  Done(Was);
@@ -116,7 +118,7 @@
 }
 
 bool Scheduler::mayHaveEarlierRun(const Job &Of) const {
-  return !TakenOver_ && (Of.AcceptedIn != Term_ || Of.Spec.Transient);
+  return !TakenOver_ && (Of.AcceptedIn != Token_ || Of.Spec.Transient);
 }
 
 void Scheduler::enqueueReady(const Job &Of) {
@@ -162,7 +164,7 @@
   const Job *Of = jobOf(Id);
   const char *State = Of ? stateName(Of->State) : "forgotten";
   logEvent(LogLevel::Info, Module, "job_ended",
-           {{"job", Id}, {"state", State}, {"term", Term_.value()}});
+           {{"job", Id}, {"state", State}, {"token", Token_.value()}});
   Needs_.Measured.count("geraniumbay_jobs_ended_total", "Jobs that ended.",
                         {{"state", State}});
   forgetWaiting(Id);
@@ -203,8 +205,8 @@
     Changes.Forgotten.push_back(Settled_.front().second);
     Settled_.pop_front();
   }
-  if (!Changes.empty())
-    Batches_.add(std::move(Changes), [](const Outcome<Done> & /*Was*/) {
+  if (!Changes.empty() && Batches_)
+    Batches_->add(std::move(Changes), [](const Outcome<Done> & /*Was*/) {
       // A later leader forgets what this one did not manage to.
     });
 }
@@ -216,7 +218,7 @@
       if (Each.State == JobState::Active)
         enqueueReady(Each);
   logEvent(LogLevel::Info, Module, "took_over",
-           {{"term", Term_.value()},
+           {{"token", Token_.value()},
             {"workers", Sessions_.size()},
             {"waiting_tasks", Queue_.size()}});
 }
@@ -239,6 +241,7 @@
   forgetSettled(Now);
   forgetTransient(Now);
   giveUpLate(Now);
+  stopOrphans(Now);
   if (!TakenOver_ && Now >= TakenOverAt_)
     takeOver();
   scheduleSoon();
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -1,11 +1,13 @@
-//===- scheduler.h - One leader's term of scheduling ------------*- C++ -*-===//
+//===- scheduler.h - Scheduling under one fencing token ---------*- C++ -*-===//
 //
-// Decides what starts where while this control VM leads. It lives for one term:
-// a new leader builds a new one, which learns from the workers what runs.
+// Decides what starts where while this process owns the pool of workers. It
+// lives as long as its fencing token: a new owner builds a new one, which
+// learns from the workers what runs.
 //
-// Taking over. Tasks that an earlier leader may have started are left alone
+// Taking over. Tasks that an earlier owner may have started are left alone
 // until every worker has either said what it runs or has certainly killed what
-// that leader started, its last lease being over.
+// that owner started, its last lease being over. What runs of jobs that the new
+// owner does not know is kept for a while: their entries hand them in again.
 //
 //===----------------------------------------------------------------------===//
 
@@ -25,7 +27,14 @@
 
 /// What the scheduler works with; all of it outlives the scheduler.
 struct SchedulerNeeds {
-  control::IReplicatedLog &Log;
+  /// Whether this process owns the pool at this moment: asked right before
+  /// orders are given.
+  std::function<bool()> MayOrder;
+  /// Called when a worker obeys a later owner.
+  std::function<void()> Fenced;
+  /// The log of durable jobs; null where only transient jobs are scheduled.
+  control::IReplicatedLog *Log;
+  /// The durable jobs; empty where there is no log.
   const JobStore &Store;
   IWorkerCalls &Workers;
   const IClock &Clock;
@@ -33,7 +42,7 @@
   Metrics &Measured;
 };
 
-/// The scheduler of one term.
+/// The scheduler of one token.
 class Scheduler {
 public:
   using Callback = Batcher::Callback;
@@ -42,19 +51,25 @@
   /// its leadership, and what becomes of the job is open.
   using EndCallback = std::function<void(const Outcome<JobState> &)>;
 
-  Scheduler(SchedulerNeeds Needs, LeaderTerm Term, LeaseSettings Lease);
+  Scheduler(SchedulerNeeds Needs, FencingToken Token, LeaseSettings Lease);
   ~Scheduler();
   Scheduler(const Scheduler &) = delete;
   Scheduler &operator=(const Scheduler &) = delete;
 
-  LeaderTerm term() const { return Term_; }
+  FencingToken token() const { return Token_; }
 
   /// Accepts \p New durably and calls back. Unavailable: it certainly was not
   /// taken; Timeout: unknown.
   void accept(Job New, Callback Done);
   /// Runs the transient job \p New, or joins it if it runs or has just ended.
   /// It is given up if it has not begun after \p Patience.
-  void run(Job New, Duration Patience, EndCallback Ended);
+  /// \p Origin is the entry that waits for it.
+  void run(Job New, Duration Patience, const Endpoint &Origin,
+           EndCallback Ended);
+  /// Drops what \p Origin waits for; a job that nobody waits for is stopped.
+  void dropOrigin(const Endpoint &Origin);
+  /// The entries that wait for jobs.
+  std::set<Endpoint> origins() const;
   /// Cancels the job durably and calls back; its tasks are stopped.
   void cancel(const JobId &Id, Callback Done);
   /// Whether a task of the job has been started, as far as this leader knows.
@@ -77,6 +92,9 @@
   void giveUpLate(Time Now);
   void answerWaiters(const JobId &Id, const Outcome<JobState> &Ended);
   void forgetTransient(Time Now);
+  void cancelTransient(const JobId &Id, const char *Reason);
+  void adoptOrphans(const JobId &Id);
+  void stopOrphans(Time Now);
 
   // Jobs and their tasks (scheduler.cpp).
   void takeOver();
@@ -104,6 +122,7 @@
   void held(const WorkerId &Worker, const Outcome<HoldAnswer> &Answer);
   void takeFindings(WorkerSession &On, const HoldFindings &Found);
   void found(WorkerSession &On, const RunningTask &Task);
+  void adopt(WorkerSession &On, const RunningTask &Task);
   void recordEnds(WorkerSession &On, const std::vector<EndedTask> &Ended);
   void recordDurably(const WorkerId &Worker, std::uint64_t Upto,
                      JobChanges Changes);
@@ -114,11 +133,12 @@
   WorkerSession *session(const WorkerId &Worker);
 
   const SchedulerNeeds Needs_;
-  const LeaderTerm Term_;
+  const FencingToken Token_;
   const LeaseSettings Lease_;
   /// Callbacks look here before they touch a scheduler that may be gone.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
-  Batcher Batches_;
+  /// Null where there is no log.
+  std::unique_ptr<Batcher> Batches_;
 
   /// Tasks of jobs of earlier terms wait until then; see above.
   Time TakenOverAt_;
@@ -143,12 +163,25 @@
 
   /// Jobs that only this leader knows.
   JobStore Transient_;
+  struct Waiter {
+    Endpoint Origin;
+    EndCallback Ended;
+  };
   struct Waiters {
-    std::vector<EndCallback> Callbacks;
+    std::vector<Waiter> Waiting;
     Time GiveUpAt;
   };
   /// Of transient jobs that are active.
   std::unordered_map<JobId, Waiters> Waiters_;
+  /// Tasks of unknown jobs that an earlier owner has left.
+  struct Orphan {
+    WorkerId Worker;
+    RunNumber Run;
+    Time Since;
+    /// It has ended well; else it runs.
+    bool Done = false;
+  };
+  std::unordered_map<TaskId, Orphan> Orphans_;
   /// Transient jobs that have ended, oldest first.
   std::deque<std::pair<Time, JobId>> Answered_;
 };
--- a/src/jobs/internal/taskqueue.h
+++ b/src/jobs/internal/taskqueue.h
@@ -8,12 +8,25 @@
 #ifndef GERANIUMBAY_JOBS_INTERNAL_TASKQUEUE_H
 #define GERANIUMBAY_JOBS_INTERNAL_TASKQUEUE_H
 
+#include "control/ireplicatedlog.h"
 #include "jobs/jobtypes.h"
 
 #include <map>
 
 namespace geraniumbay::jobs {
 
+/// Tokens of control leaders are above all tokens of entries: once there are
+/// durable jobs, the leader of the log owns the workers.
+constexpr std::uint64_t ControlTokenBase = std::uint64_t{1} << 50U;
+
+inline FencingToken tokenOf(control::LeaderTerm Term) {
+  return FencingToken(ControlTokenBase + Term.value());
+}
+/// The term of a token of a control leader.
+inline control::LeaderTerm termOf(FencingToken Token) {
+  return control::LeaderTerm(Token.value() - ControlTokenBase);
+}
+
 /// The place of a task in the order.
 struct TaskRank {
   std::uint32_t Priority = 0;
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -1,6 +1,7 @@
-//===- transientjobs.cpp - Jobs that only the leader knows ----------------===//
+//===- transientjobs.cpp - Jobs that only the owner knows -----------------===//
 //
-// A transient job lives in the leader's memory; its callers wait for its end.
+// A transient job lives in the owner's memory; its callers wait for its end at
+// their entries, its origins.
 //
 //===----------------------------------------------------------------------===//
 
@@ -15,54 +16,120 @@
 /// How long the end of a job is remembered for callers that send it again
 /// because its answer was lost; they do so within seconds.
 constexpr Duration KeepAnswered = std::chrono::seconds(10);
+/// How long what an earlier owner left is kept for the entries to hand its
+/// jobs in again: about the time in which they notice the change.
+constexpr Duration KeepOrphans = std::chrono::milliseconds(1000);
 
 } // namespace
 
-void Scheduler::run(Job New, Duration Patience, EndCallback Ended) {
+void Scheduler::run(Job New, Duration Patience, const Endpoint &Origin,
+                    EndCallback Ended) {
   JobId Id = New.Id;
   if (const Job *Known = findJob(Transient_, Id)) {
-    if (Known->State != JobState::Active)
+    if (Known->State == JobState::Active) {
+      Waiters_[Id].Waiting.push_back({Origin, std::move(Ended)});
+      return;
+    }
+    // One that was given up before it began may be handed in again.
+    if (Known->State != JobState::Cancelled)
       return Ended(Known->State);
-    Waiters_[Id].Callbacks.push_back(std::move(Ended));
-    return;
+    Transient_.Jobs.erase(Id);
   }
   Time Now = Needs_.Clock.now();
-  New.AcceptedIn = Term_;
+  New.AcceptedIn = Token_;
   JobChanges Changes;
   Changes.Accepted.push_back(std::move(New));
   apply(Transient_, Changes);
-  Waiters_[Id] = {{std::move(Ended)}, Now + Patience};
+  Waiters_[Id] = {{{Origin, std::move(Ended)}}, Now + Patience};
   Orders_[Id] = ++LastOrder_;
-  enqueueReady(*findJob(Transient_, Id));
+  adoptOrphans(Id);
+  if (const Job *Of = findJob(Transient_, Id))
+    enqueueReady(*Of);
   scheduleSoon();
 }
 
+void Scheduler::adoptOrphans(const JobId &Id) {
+  JobChanges Changes;
+  std::vector<std::pair<TaskId, Orphan>> Own;
+  for (const auto &[Task, Left] : Orphans_)
+    if (Task.Job == Id)
+      Own.emplace_back(Task, Left);
+  for (const auto &[Task, Left] : Own) {
+    Orphans_.erase(Task);
+    WorkerSession *On = session(Left.Worker);
+    if (Left.Done)
+      Changes.Ended.push_back({Task, Left.Run, true});
+    else if (On && taskOf(Task))
+      adopt(*On, {Task, Left.Run});
+  }
+  if (Changes.empty())
+    return;
+  Begun_.insert(Id);
+  apply(Transient_, Changes);
+  committed(Changes);
+}
+
+void Scheduler::stopOrphans(Time Now) {
+  std::vector<TaskId> Old;
+  for (const auto &[Task, Left] : Orphans_)
+    if (Now - Left.Since >= KeepOrphans)
+      Old.push_back(Task);
+  // What still runs is found again, unknown, and stopped then.
+  for (const TaskId &Task : Old)
+    Orphans_.erase(Task);
+}
+
+void Scheduler::cancelTransient(const JobId &Id, const char *Reason) {
+  logEvent(LogLevel::Info, Module, "job_given_up",
+           {{"job", Id}, {"reason", Reason}, {"begun", hasBegun(Id)}});
+  JobChanges Changes;
+  Changes.Cancelled.push_back(Id);
+  apply(Transient_, Changes);
+  jobSettled(Id);
+}
+
 void Scheduler::giveUpLate(Time Now) {
   std::vector<JobId> Late;
-  for (const auto &[Id, Waiting] : Waiters_)
-    if (Now >= Waiting.GiveUpAt && !hasBegun(Id))
+  for (const auto &[Id, Job] : Waiters_)
+    if (Now >= Job.GiveUpAt && !hasBegun(Id))
       Late.push_back(Id);
-  for (const JobId &Id : Late) {
-    logEvent(LogLevel::Info, Module, "job_given_up",
-             {{"job", Id}, {"reason", "not begun in time"}});
-    JobChanges Changes;
-    Changes.Cancelled.push_back(Id);
-    apply(Transient_, Changes);
-    jobSettled(Id);
+  for (const JobId &Id : Late)
+    cancelTransient(Id, "not begun in time");
+}
+
+std::set<Endpoint> Scheduler::origins() const {
+  std::set<Endpoint> Result;
+  for (const auto &[Id, Job] : Waiters_)
+    for (const Waiter &Each : Job.Waiting)
+      Result.insert(Each.Origin);
+  return Result;
+}
+
+void Scheduler::dropOrigin(const Endpoint &Origin) {
+  std::vector<JobId> Empty;
+  for (auto &[Id, Job] : Waiters_) {
+    std::erase_if(Job.Waiting,
+                  [&](const Waiter &Each) { return Each.Origin == Origin; });
+    if (Job.Waiting.empty())
+      Empty.push_back(Id);
   }
+  for (const JobId &Id : Empty)
+    cancelTransient(Id, "its entry is out of reach");
 }
 
 void Scheduler::answerWaiters(const JobId &Id, const Outcome<JobState> &Ended) {
   auto Found = Waiters_.extract(Id);
   if (!Found)
     return;
-  for (const EndCallback &Run : Found.mapped().Callbacks)
-    Run(Ended);
+  for (const Waiter &Each : Found.mapped().Waiting)
+    Each.Ended(Ended);
 }
 
 void Scheduler::forgetTransient(Time Now) {
   while (!Answered_.empty() && Now - Answered_.front().first >= KeepAnswered) {
-    Transient_.Jobs.erase(Answered_.front().second);
+    const Job *Of = findJob(Transient_, Answered_.front().second);
+    if (Of && Of->State != JobState::Active)
+      Transient_.Jobs.erase(Answered_.front().second);
     Answered_.pop_front();
   }
 }
--- a/src/jobs/internal/workerdirectory.cpp
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -13,28 +13,37 @@
     return false;
   auto [Place, Fresh] =
       Directory.Workers.try_emplace(Info.Worker, KnownWorker{Info, Now});
-  if (Fresh)
+  if (Fresh) {
+    ++Directory.Changes;
     return true;
+  }
   KnownWorker &Known = Place->second;
   if (Info.Sequence < Known.Info.Sequence)
     return false;
   Known.Heard = Now;
   // Draining is for good.
   bool Draining = Known.Info.Draining || Info.Draining;
+  if (Draining != Known.Info.Draining || Info.At != Known.Info.At ||
+      Info.Capacity != Known.Info.Capacity)
+    ++Directory.Changes;
   Known.Info = Info;
   Known.Info.Draining = Draining;
   return true;
 }
 
 void leave(WorkerDirectory &Directory, const WorkerId &Worker) {
-  Directory.Workers.erase(Worker);
+  if (Directory.Workers.erase(Worker) != 0)
+    ++Directory.Changes;
   Directory.Left.insert(Worker);
 }
 
 void dropSilent(WorkerDirectory &Directory, Time Now) {
-  std::erase_if(Directory.Workers, [&](const auto &Entry) {
-    return Now - Entry.second.Heard >= WorkerSilence;
-  });
+  std::size_t Dropped =
+      std::erase_if(Directory.Workers, [&](const auto &Entry) {
+        return Now - Entry.second.Heard >= WorkerSilence;
+      });
+  if (Dropped != 0)
+    ++Directory.Changes;
 }
 
 Json::Value write(const WorkerInfo &Value) {
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -71,6 +71,9 @@
   int SlowClockPercent = 2;
   /// A worker takes this long to kill what has no lease.
   Duration KillTime = std::chrono::milliseconds(50);
+  /// An earlier owner that is cut off gives no lease after this time: by then
+  /// it has noticed (see OwnerSilence in poolview.h).
+  Duration EarlierOwner{0};
   /// How long a worker waits for an end before it answers a hold.
   Duration HoldWait = std::chrono::milliseconds(400);
   /// An answer that is this late is given up.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -53,11 +53,11 @@
 }
 
 void Scheduler::hold(WorkerSession &With) {
-  if (With.HoldUnderWay || !Needs_.Log.holdsLease())
+  if (With.HoldUnderWay || !Needs_.MayOrder())
     return;
   Time Now = Needs_.Clock.now();
   HoldOrder Order;
-  Order.Token = Term_;
+  Order.Token = Token_;
   Order.LastSeenEnd = With.RecordedEnd;
   // A lease keeps alive whatever runs there. So none is given before all that
   // runs there is known, nor to a worker whose silence must come to an end.
@@ -83,6 +83,8 @@
   With->HoldUnderWay = false;
   if (!Answer && Answer.error().Code == ErrorCode::NotFound)
     return dropWorker(Worker, "another incarnation answered");
+  if (!Answer && Answer.error().Code == ErrorCode::Conflict)
+    return Needs_.Fenced();
   if (!Answer) {
     if (!With->Silent)
       logEvent(LogLevel::Warning, Module, "worker_silent",
@@ -112,6 +114,15 @@
 
 void Scheduler::takeFindings(WorkerSession &On, const HoldFindings &Findings) {
   for (const EndedTask &End : Findings.Ended) {
+    auto Left = Orphans_.find(End.Task);
+    bool Unknown = !TakenOver_ && !jobOf(End.Task.Job);
+    if (Unknown && End.How == EndKind::Done)
+      Orphans_[End.Task] = {On.Info.Worker, End.Run, Needs_.Clock.now(), true};
+    else if (Left != Orphans_.end() && Left->second.Worker == On.Info.Worker) {
+      Left->second.Done = End.How == EndKind::Done;
+      if (!Left->second.Done)
+        Orphans_.erase(Left);
+    }
     auto Place = Places_.find(End.Task);
     if (Place != Places_.end() && Place->second == On.Info.Worker &&
         On.Runs.count(End.Task) == 0)
@@ -134,25 +145,40 @@
   for (const auto &[Task, Each] : On.Runs)
     if (Each.Stopping)
       Needs_.Workers.stop({On.Info.Worker, On.Info.At},
-                          {Task, Each.Number, Term_});
+                          {Task, Each.Number, Token_});
   if (!Findings.Ended.empty())
     recordEnds(On, Findings.Ended);
 }
 
 void Scheduler::found(WorkerSession &On, const RunningTask &Task) {
+  const Job *Of = jobOf(Task.Task.Job);
   const TaskRecord *Record = taskOf(Task.Task);
-  bool Wanted = Record && !Record->Done && Places_.count(Task.Task) == 0;
-  logEvent(LogLevel::Info, Module, Wanted ? "run_adopted" : "run_unwanted",
+  if (Record && !Record->Done && Places_.count(Task.Task) == 0)
+    return adopt(On, Task);
+  // The entry that waits for an unknown job hands it in again.
+  if (!Of && !TakenOver_) {
+    Orphans_[Task.Task] = {On.Info.Worker, Task.Run, Needs_.Clock.now(), false};
+    return;
+  }
+  if (!Of && Orphans_.count(Task.Task) != 0)
+    return;
+  logEvent(LogLevel::Info, Module, "run_unwanted",
+           {{"job", Task.Task.Job},
+            {"step", Task.Task.Step},
+            {"index", Task.Task.Index},
+            {"run", Task.Run.value()},
+            {"worker", On.Info.Worker}});
+  Needs_.Workers.stop({On.Info.Worker, On.Info.At},
+                      {Task.Task, Task.Run, Token_});
+}
+
+void Scheduler::adopt(WorkerSession &On, const RunningTask &Task) {
+  logEvent(LogLevel::Info, Module, "run_adopted",
            {{"job", Task.Task.Job},
             {"step", Task.Task.Step},
             {"index", Task.Task.Index},
             {"run", Task.Run.value()},
             {"worker", On.Info.Worker}});
-  if (!Wanted) {
-    Needs_.Workers.stop({On.Info.Worker, On.Info.At},
-                        {Task.Task, Task.Run, Term_});
-    return;
-  }
   const Job &Of = *jobOf(Task.Task.Job);
   if (auto Rank = Ranks_.find(Task.Task); Rank != Ranks_.end()) {
     Queue_.erase(Rank->second);
@@ -191,7 +217,7 @@
 void Scheduler::recordDurably(const WorkerId &Worker, std::uint64_t Upto,
                               JobChanges Changes) {
   JobChanges Copy = Changes;
-  Batches_.add(std::move(Changes),
+  Batches_->add(std::move(Changes),
                [this, Alive = Alive_, Worker, Upto,
                 Ends = std::move(Copy)](const Outcome<Done> &Was) {
                  // Without an answer from the log this leader is none any
@@ -214,7 +240,7 @@
       if (Task.Job != Id)
         continue;
       Each.Stopping = true;
-      Needs_.Workers.stop({Worker, With.Info.At}, {Task, Each.Number, Term_});
+      Needs_.Workers.stop({Worker, With.Info.At}, {Task, Each.Number, Token_});
     }
 }
 
--- a/src/jobs/iworkercalls.h
+++ b/src/jobs/iworkercalls.h
@@ -10,6 +10,7 @@
 #define GERANIUMBAY_JOBS_IWORKERCALLS_H
 
 #include "framework/net/endpoint.h"
+#include "framework/clock/iclock.h"
 #include "jobs/jobtypes.h"
 
 #include <functional>
@@ -33,19 +34,19 @@
   /// The lease of everything on the worker is extended to here; the order is
   /// refused if it arrives later.
   WorkerMillis LeaseUntil;
-  LeaderTerm Token;
+  FencingToken Token;
 };
 
 struct StopOrder {
   TaskId Task;
   RunNumber Run;
-  LeaderTerm Token;
+  FencingToken Token;
 };
 
 struct HoldOrder {
   /// Left out, the order only looks and renews nothing.
   std::optional<WorkerMillis> LeaseUntil;
-  LeaderTerm Token;
+  FencingToken Token;
   /// Ends up to this number are recorded; the worker may forget them.
   std::uint64_t LastSeenEnd = 0;
   /// The worker answers when a task ends, or after this time.
--- a/src/jobs/jobssetup.cpp
+++ b/src/jobs/jobssetup.cpp
@@ -8,7 +8,7 @@
 
 #include "control/controlsetup.h"
 #include "framework/kernel/names.h"
-#include "jobs/internal/jobgateway.h"
+#include "jobs/internal/entryjobs.h"
 #include "jobs/internal/jobservice.h"
 
 namespace geraniumbay::jobs {
@@ -35,12 +35,19 @@
   Service->start();
 }
 
-void setUpJobGateway(Registry &Services, std::vector<Endpoint> ControlVms) {
-  auto Gateway = std::make_shared<JobGateway>(
-      std::move(ControlVms),
-      Services.get<IRpcClient>(framework_name::RpcClient),
-      Services.get<IClock>(framework_name::Clock),
-      Services.get<ITimers>(framework_name::Timers));
+void setUpJobGateway(Registry &Services, const Endpoint &Self,
+                     std::vector<Endpoint> ControlVms, RoutingReader Reader,
+                     Duration LongestLease) {
+  LeaseSettings Lease;
+  Lease.Longest = LongestLease;
+  EntryNeeds Needs{Services.get<IWorkerCalls>(service_name::WorkerCalls),
+                   Services.get<IClock>(framework_name::Clock),
+                   Services.get<ITimers>(framework_name::Timers),
+                   Services.get<Metrics>(framework_name::Metrics),
+                   Services.get<IRpcServer>(framework_name::RpcServer),
+                   Services.get<IRpcClient>(framework_name::RpcClient)};
+  auto Gateway = std::make_shared<EntryJobs>(
+      Needs, Self, std::move(ControlVms), std::move(Reader), Lease);
   Services.add<IJobGateway>(service_name::JobGateway, Gateway);
   Gateway->start();
 }
--- a/src/jobs/jobssetup.h
+++ b/src/jobs/jobssetup.h
@@ -32,9 +32,12 @@
 void setUpJobControl(Registry &Services, RoutingReader Reader,
                      Duration LongestLease);
 
-/// Registers IJobGateway on an entry and starts to look for the leader among
-/// \p ControlVms.
-void setUpJobGateway(Registry &Services, std::vector<Endpoint> ControlVms);
+/// Registers IJobGateway on an entry, which its peers reach at \p Self, and
+/// starts to look for the leader among \p ControlVms. Needs the framework's
+/// services and "worker_calls".
+void setUpJobGateway(Registry &Services, const Endpoint &Self,
+                     std::vector<Endpoint> ControlVms, RoutingReader Reader,
+                     Duration LongestLease);
 
 } // namespace geraniumbay::jobs
 
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -9,7 +9,6 @@
 #ifndef GERANIUMBAY_JOBS_JOBTYPES_H
 #define GERANIUMBAY_JOBS_JOBTYPES_H
 
-#include "control/ireplicatedlog.h"
 #include "framework/clock/iclock.h"
 #include "framework/types/strongid.h"
 
@@ -19,8 +18,9 @@
 
 namespace geraniumbay::jobs {
 
-using control::LeaderTerm;
-
+/// Orders who schedules: workers refuse orders with a lower token than they
+/// have seen.
+using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
 /// The id of a job, chosen by the caller. Submitting it again is harmless.
 using JobId = StrongId<struct JobTag, std::string>;
 /// The configured name of a queue.
@@ -99,8 +99,8 @@
   std::uint32_t Priority = 0;
   /// A task that has failed this often fails the job.
   std::uint32_t MaxFailures = 1;
-  /// The term of the leader that accepted it.
-  LeaderTerm AcceptedIn;
+  /// The token of the scheduler that accepted it.
+  FencingToken AcceptedIn;
   JobSpec Spec;
   JobState State = JobState::Active;
   /// By step and index. Invariant: as the counts of Spec; empty once the job
--- a/src/jobs/routing.h
+++ b/src/jobs/routing.h
@@ -8,6 +8,7 @@
 #ifndef GERANIUMBAY_JOBS_ROUTING_H
 #define GERANIUMBAY_JOBS_ROUTING_H
 
+#include "framework/errors/error.h"
 #include "jobs/jobtypes.h"
 
 #include <functional>
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -46,13 +46,15 @@
   /// Incarnations that said goodbye, so that a late announcement does not
   /// bring one back.
   std::set<WorkerId> Left;
+  /// Counts the changes that schedulers must hear of.
+  std::uint64_t Changes = 0;
 };
 
 /// A worker that has not announced itself for so long is dropped. Workers
 /// announce every second or two; a crashed one says nothing.
 constexpr Duration WorkerSilence = std::chrono::seconds(8);
 
-/// Takes an announcement. Returns false if it is older than what is known.
+/// Takes an announcement of \p Info. Returns false if it is older than what is known.
 bool announce(WorkerDirectory &Directory, const WorkerInfo &Info, Time Now);
 /// Notes that the incarnation has ended.
 void leave(WorkerDirectory &Directory, const WorkerId &Worker);
