Agree on the owner of the pool after restarts and cuts

Cause: a restarted entry that knew no other claimed the pool at once; claims of the past were adopted after a fencing; a job handed over by an owner that let go could start while it still ran on a worker that the new owner had not looked at (TWICE as a zone cut heals). Change: no claim before a list of entries is known, claims only go up, and a job that another owner may have started waits for a look at all workers.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -133,7 +133,7 @@
   What->SentTo = View_.Owner;
   if (!Scheduler_ || !ownsPool(View_))
     return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
-  Scheduler_->run(What->Wanted, What->GiveUp - Now, Self_,
+  Scheduler_->run(What->Wanted, What->GiveUp - Now, Self_, What->MaybeTaken,
                   [this, What, Attempt = What->Attempt](
                       const Outcome<JobState> &Ended) {
                     if (Attempt != What->Attempt)
@@ -151,6 +151,8 @@
   Params["job"] = wire::write(What->Wanted);
   Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
   Params["origin"] = Self_.text();
+  if (What->MaybeTaken)
+    Params["maybe_taken"] = true;
   Endpoint To = What->SentTo->At;
   Needs_.Client.call(To, wire::method::Run, std::move(Params),
                      std::max(Left, Duration(0)) + AnswerMargin,
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -14,7 +14,7 @@
 //     of workers and entries.
 //   pool.ping    {from, owner, token, echo_us, stopping}
 //     -> {owner, token, stamp_us, stopping}
-//   pool.run     {job, left_us, origin} -> answer, or {owner, token, not_owner}
+//   pool.run     {job, left_us, origin, maybe_taken?} -> answer, or {owner, token, not_owner}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -277,7 +277,7 @@
   Time Began = Needs_.Clock.now();
   JobId Id = New.Id;
   Scheduler_->run(
-      std::move(New), Patience, Endpoint(),
+      std::move(New), Patience, Endpoint(), true,
       [this, Answer, Id, Began](const Outcome<JobState> &Ended) {
         Duration Took = Needs_.Clock.now() - Began;
         Needs_.Measured.observe("geraniumbay_transient_job_seconds",
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -187,6 +187,7 @@
   Contacts_.try_emplace(*Origin, Now);
   Scheduler_->run(std::move(*Wanted),
                   Duration(static_cast<Duration::rep>(*Left)), *Origin,
+                  flag(Params, "maybe_taken"),
                   [Answer, NotOwner](const Outcome<JobState> &Ended) {
                     if (Ended)
                       return Answer(wire::write(answerOfEnd(*Ended)));
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -34,6 +34,8 @@
 /// Whether enough time has passed, or all others were heard, so that an owner
 /// that is there would be known.
 bool hasLookedAround(const PoolView &View, Time Now) {
+  if (!View.HasPeers)
+    return false;
   if (Now - View.Started >= DeadAfter)
     return true;
   return std::all_of(View.Ranked.begin(), View.Ranked.end(),
@@ -50,6 +52,7 @@
 
 void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries) {
   View.Ranked = Entries;
+  View.HasPeers = View.HasPeers || !Entries.empty();
   if (std::find(Entries.begin(), Entries.end(), View.Self) == Entries.end())
     View.Ranked.push_back(View.Self);
   std::sort(View.Ranked.begin(), View.Ranked.end());
@@ -70,9 +73,10 @@
 
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now) {
   View.Highest = std::max(View.Highest, Claim.Token);
-  if (Claim.Token <= View.Owner.Token)
+  if (Claim.Token <= View.LastClaim)
     return false;
   View.Owner = Claim;
+  View.LastClaim = Claim.Token;
   if (Claim.At != View.Self)
     View.Peers[Claim.At] = {Now, false};
   return true;
@@ -128,6 +132,7 @@
   View.Owner = {View.Self,
                 FencingToken(Millis * TokensPerMilli + numberOf(View.Self))};
   View.Highest = View.Owner.Token;
+  View.LastClaim = View.Owner.Token;
   return View.Owner;
 }
 
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -63,8 +63,13 @@
   Time Started;
   /// All entries, this one included, by rank.
   std::vector<Endpoint> Ranked;
+  /// A list of the entries has been heard. An entry that has just started and
+  /// knows nobody claims nothing.
+  bool HasPeers = false;
   std::map<Endpoint, PeerHealth> Peers;
   OwnerClaim Owner;
+  /// The highest claim that was heard of; lower ones are of the past.
+  FencingToken LastClaim;
   /// Claims of this entry must be above it.
   FencingToken Highest;
   /// This entry makes no claim before this time.
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -118,7 +118,9 @@
 }
 
 bool Scheduler::mayHaveEarlierRun(const Job &Of) const {
-  return !TakenOver_ && (Of.AcceptedIn != Token_ || Of.Spec.Transient);
+  if (Of.Spec.Transient)
+    return !TakenOver_ || Unsettled_.count(Of.Id) != 0;
+  return !TakenOver_ && Of.AcceptedIn != Token_;
 }
 
 void Scheduler::enqueueReady(const Job &Of) {
@@ -174,6 +176,7 @@
     Settled_.emplace_back(Needs_.Clock.now(), Id);
     return;
   }
+  Unsettled_.erase(Id);
   if (Of)
     answerWaiters(Id, Of->State);
   Begun_.erase(Id);
@@ -242,6 +245,7 @@
   forgetTransient(Now);
   giveUpLate(Now);
   stopOrphans(Now);
+  releaseUnsettled(Now);
   if (!TakenOver_ && Now >= TakenOverAt_)
     takeOver();
   scheduleSoon();
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -63,8 +63,10 @@
   void accept(Job New, Callback Done);
   /// Runs the transient job \p New, or joins it if it runs or has just ended.
   /// It is given up if it has not begun after \p Patience.
-  /// \p Origin is the entry that waits for it.
-  void run(Job New, Duration Patience, const Endpoint &Origin,
+  /// \p Origin is the entry that waits for it. With \p MaybeTaken another owner
+  /// may have started tasks of it: none starts before all workers have been
+  /// looked at since now.
+  void run(Job New, Duration Patience, const Endpoint &Origin, bool MaybeTaken,
            EndCallback Ended);
   /// Drops what \p Origin waits for; a job that nobody waits for is stopped.
   void dropOrigin(const Endpoint &Origin);
@@ -93,6 +95,8 @@
   void answerWaiters(const JobId &Id, const Outcome<JobState> &Ended);
   void forgetTransient(Time Now);
   void cancelTransient(const JobId &Id, const char *Reason);
+  void releaseUnsettled(Time Now);
+  void lookAround();
   void adoptOrphans(const JobId &Id);
   void stopOrphans(Time Now);
 
@@ -119,7 +123,11 @@
 
   // Conversations with workers (workerwatch.cpp).
   void hold(WorkerSession &With);
-  void held(const WorkerId &Worker, const Outcome<HoldAnswer> &Answer);
+  /// Asks what runs there, beside the hold that may be under way.
+  void look(WorkerSession &With);
+  void held(const WorkerId &Worker, Time Sent,
+            const Outcome<HoldAnswer> &Answer);
+  void takeAnswer(WorkerSession &On, Time Sent, const HoldAnswer &Answer);
   void takeFindings(WorkerSession &On, const HoldFindings &Found);
   void found(WorkerSession &On, const RunningTask &Task);
   void adopt(WorkerSession &On, const RunningTask &Task);
@@ -182,6 +190,9 @@
     bool Done = false;
   };
   std::unordered_map<TaskId, Orphan> Orphans_;
+  /// Jobs that may run under another owner, and since when they wait.
+  std::unordered_map<JobId, Time> Unsettled_;
+  Time LookedAround_;
   /// Transient jobs that have ended, oldest first.
   std::deque<std::pair<Time, JobId>> Answered_;
 };
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -19,11 +19,13 @@
 /// How long what an earlier owner left is kept for the entries to hand its
 /// jobs in again: about the time in which they notice the change.
 constexpr Duration KeepOrphans = std::chrono::milliseconds(1000);
+/// How often all workers are looked at while jobs wait for that.
+constexpr Duration LookInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
 void Scheduler::run(Job New, Duration Patience, const Endpoint &Origin,
-                    EndCallback Ended) {
+                    bool MaybeTaken, EndCallback Ended) {
   JobId Id = New.Id;
   if (const Job *Known = findJob(Transient_, Id)) {
     if (Known->State == JobState::Active) {
@@ -42,6 +44,10 @@
   apply(Transient_, Changes);
   Waiters_[Id] = {{{Origin, std::move(Ended)}}, Now + Patience};
   Orders_[Id] = ++LastOrder_;
+  if (MaybeTaken && TakenOver_) {
+    Unsettled_[Id] = Now;
+    lookAround();
+  }
   adoptOrphans(Id);
   if (const Job *Of = findJob(Transient_, Id))
     enqueueReady(*Of);
@@ -69,6 +75,35 @@
   committed(Changes);
 }
 
+void Scheduler::lookAround() {
+  Time Now = Needs_.Clock.now();
+  if (Now - LookedAround_ < LookInterval)
+    return;
+  LookedAround_ = Now;
+  for (auto &[Worker, With] : Sessions_)
+    look(With);
+}
+
+void Scheduler::releaseUnsettled(Time Now) {
+  if (Unsettled_.empty())
+    return;
+  Time LeastLooked = Now;
+  for (const auto &[Worker, With] : Sessions_)
+    LeastLooked = std::min(LeastLooked, With.LookedAt);
+  std::vector<JobId> Settled;
+  for (const auto &[Id, Since] : Unsettled_)
+    if (Since < LeastLooked ||
+        Now - Since >= Lease_.EarlierOwner + leaseBound(Lease_))
+      Settled.push_back(Id);
+  for (const JobId &Id : Settled) {
+    Unsettled_.erase(Id);
+    if (const Job *Of = findJob(Transient_, Id))
+      enqueueReady(*Of);
+  }
+  if (!Unsettled_.empty())
+    lookAround();
+}
+
 void Scheduler::stopOrphans(Time Now) {
   std::vector<TaskId> Old;
   for (const auto &[Task, Left] : Orphans_)
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -57,6 +57,8 @@
   Time RestUntil;
 
   bool HoldUnderWay = false;
+  /// When the latest question was sent that it has answered.
+  Time LookedAt;
   /// The highest end that is recorded in the log or needs no record.
   std::uint64_t RecordedEnd = 0;
   /// The highest end that has been taken into a batch.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -68,14 +68,38 @@
   }
   With.HoldUnderWay = true;
   Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
-                      [this, Alive = Alive_, Worker = With.Info.Worker](
-                          const Outcome<HoldAnswer> &Answer) {
+                      [this, Alive = Alive_, Worker = With.Info.Worker,
+                       Sent = Now](const Outcome<HoldAnswer> &Answer) {
                         if (*Alive)
-                          held(Worker, Answer);
+                          held(Worker, Sent, Answer);
+                      });
+}
+
+void Scheduler::look(WorkerSession &With) {
+  if (!Needs_.MayOrder())
+    return;
+  HoldOrder Order;
+  Order.Token = Token_;
+  Order.LastSeenEnd = With.RecordedEnd;
+  Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
+                      [this, Alive = Alive_, Worker = With.Info.Worker,
+                       Sent = Needs_.Clock.now()](
+                          const Outcome<HoldAnswer> &Answer) {
+                        WorkerSession *On = *Alive ? session(Worker) : nullptr;
+                        if (On && Answer)
+                          takeAnswer(*On, Sent, *Answer);
                       });
 }
 
-void Scheduler::held(const WorkerId &Worker,
+void Scheduler::takeAnswer(WorkerSession &On, Time Sent,
+                           const HoldAnswer &Answer) {
+  On.LookedAt = std::max(On.LookedAt, Sent);
+  takeFindings(On, takeHold(On, Answer, Needs_.Clock.now()));
+  On.Known = true;
+  takeOverIfAllKnown();
+}
+
+void Scheduler::held(const WorkerId &Worker, Time Sent,
                      const Outcome<HoldAnswer> &Answer) {
   WorkerSession *With = session(Worker);
   if (!With)
@@ -102,9 +126,7 @@
   if (With->Silent)
     logEvent(LogLevel::Info, Module, "worker_answers", {{"worker", Worker}});
   With->Silent = false;
-  takeFindings(*With, takeHold(*With, *Answer, Needs_.Clock.now()));
-  With->Known = true;
-  takeOverIfAllKnown();
+  takeAnswer(*With, Sent, *Answer);
   // With ends to record the next hold waits for the log, since the worker
   // would answer it at once with the same ends.
   if (With->TakenEnd == With->RecordedEnd)
