Keep nothing alive that an unreachable owner may count as dead

Change: a worker with unknown tasks gets no lease and no start; orphans are kept only if the earlier owner has let go.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -89,7 +89,7 @@
   WorkerSession *Best = nullptr;
   std::uint32_t LeastLeft = UINT32_MAX;
   for (auto &[Id, Each] : Sessions_) {
-    if (!Each.Known || Each.Silent || Each.Info.Draining ||
+    if (!Each.Known || Each.Silent || Each.Foreign || Each.Info.Draining ||
         Each.RestUntil > Now || Each.Info.Service != Task.Service ||
         !hasRoom(Each, Task.Needs) || !suits(Each, Step, Task.Id))
       continue;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -64,7 +64,8 @@
                        Needs_.Timers,
                        Needs_.Measured};
   LeaseSettings Lease = Lease_;
-  Lease.EarlierOwner = OwnerSilence;
+  Lease.EarlierOwnerGone = earlierOwnerGone(View_);
+  Lease.EarlierOwner = Lease.EarlierOwnerGone ? Duration(0) : OwnerSilence;
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
   Scheduler_->takeWorkers(Directory_);
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -89,6 +89,11 @@
   View.Owner = OwnerClaim();
 }
 
+bool earlierOwnerGone(const PoolView &View) {
+  auto Found = View.Peers.find(View.Earlier.At);
+  return Found != View.Peers.end() && Found->second.Away;
+}
+
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now) {
   if (Entry == View.Self)
     return !View.Stopping;
@@ -129,6 +134,7 @@
   std::uint64_t Millis =
       std::max(static_cast<std::uint64_t>(std::max<WallMillis>(Wall, 0)),
                View.Highest.value() / TokensPerMilli + 1);
+  View.Earlier = View.Owner;
   View.Owner = {View.Self,
                 FencingToken(Millis * TokensPerMilli + numberOf(View.Self))};
   View.Highest = View.Owner.Token;
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -68,6 +68,8 @@
   bool HasPeers = false;
   std::map<Endpoint, PeerHealth> Peers;
   OwnerClaim Owner;
+  /// The owner before; only of an entry that has claimed the pool.
+  OwnerClaim Earlier;
   /// The highest claim that was heard of; lower ones are of the past.
   FencingToken LastClaim;
   /// Claims of this entry must be above it.
@@ -92,6 +94,10 @@
 /// the workers, or had in a past that nobody remembers.
 void noteFenced(PoolView &View, Time Now);
 
+/// Whether the owner before this entry's claim is known to have let go: its
+/// process has ended or said that it stops.
+bool earlierOwnerGone(const PoolView &View);
+
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
 bool ownsPool(const PoolView &View);
 
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -220,6 +220,7 @@
     for (const auto &[Id, Each] : Store->Jobs)
       if (Each.State == JobState::Active)
         enqueueReady(Each);
+  scheduleSoon();
   logEvent(LogLevel::Info, Module, "took_over",
            {{"token", Token_.value()},
             {"workers", Sessions_.size()},
@@ -227,15 +228,12 @@
 }
 
 void Scheduler::takeOverIfAllKnown() {
-  if (TakenOver_ || AllKnown_ || Sessions_.empty())
+  if (TakenOver_ || Sessions_.empty())
     return;
   for (const auto &[Worker, With] : Sessions_)
-    if (!With.Known)
+    if (!With.Known || With.Foreign)
       return;
-  AllKnown_ = true;
-  // What was found and is not wanted has been stopped by then.
-  TakenOverAt_ = std::min(TakenOverAt_,
-                          Needs_.Clock.now() + Lease_.KillTime * 2);
+  takeOver();
 }
 
 void Scheduler::tick() {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -151,8 +151,6 @@
   /// Tasks of jobs of earlier terms wait until then; see above.
   Time TakenOverAt_;
   bool TakenOver_ = false;
-  /// All known workers have said what they run.
-  bool AllKnown_ = false;
 
   std::map<WorkerId, WorkerSession> Sessions_;
   /// Where each known run is. Invariant: agrees with Sessions_.
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -56,6 +56,11 @@
   /// The worker refused work; it gets none before this time.
   Time RestUntil;
 
+  /// Tasks run there that this owner does not know, and another owner that is
+  /// out of reach may count on their lease to end. So no lease is given, nor
+  /// anything started, before they have gone.
+  bool Foreign = false;
+
   bool HoldUnderWay = false;
   /// When the latest question was sent that it has answered.
   Time LookedAt;
@@ -76,6 +81,9 @@
   /// An earlier owner that is cut off gives no lease after this time: by then
   /// it has noticed (see OwnerSilence in poolview.h).
   Duration EarlierOwner{0};
+  /// The earlier owner is known to have let go: it waits for no lease to end,
+  /// so what it left may be kept alive.
+  bool EarlierOwnerGone = false;
   /// How long a worker waits for an end before it answers a hold.
   Duration HoldWait = std::chrono::milliseconds(400);
   /// An answer that is this late is given up.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -61,7 +61,7 @@
   Order.LastSeenEnd = With.RecordedEnd;
   // A lease keeps alive whatever runs there. So none is given before all that
   // runs there is known, nor to a worker whose silence must come to an end.
-  if (With.Known && !With.Silent) {
+  if (With.Known && !With.Silent && !With.Foreign) {
     Order.LeaseUntil = leaseUntil(With, Lease_, Now);
     Order.Wait = Lease_.HoldWait;
     noteLease(With, Lease_, Now);
@@ -94,8 +94,14 @@
 void Scheduler::takeAnswer(WorkerSession &On, Time Sent,
                            const HoldAnswer &Answer) {
   On.LookedAt = std::max(On.LookedAt, Sent);
-  takeFindings(On, takeHold(On, Answer, Needs_.Clock.now()));
+  HoldFindings Findings = takeHold(On, Answer, Needs_.Clock.now());
+  takeFindings(On, Findings);
   On.Known = true;
+  On.Foreign = std::any_of(Findings.Found.begin(), Findings.Found.end(),
+                           [&](const RunningTask &Each) {
+                             return On.Runs.count(Each.Task) == 0 &&
+                                    Orphans_.count(Each.Task) == 0;
+                           });
   takeOverIfAllKnown();
 }
 
@@ -129,7 +135,8 @@
   takeAnswer(*With, Sent, *Answer);
   // With ends to record the next hold waits for the log, since the worker
   // would answer it at once with the same ends.
-  if (With->TakenEnd == With->RecordedEnd)
+  // Without a lease the worker answers at once: the tick asks again.
+  if (With->TakenEnd == With->RecordedEnd && !With->Foreign)
     hold(*With);
   scheduleSoon();
 }
@@ -178,7 +185,7 @@
   if (Record && !Record->Done && Places_.count(Task.Task) == 0)
     return adopt(On, Task);
   // The entry that waits for an unknown job hands it in again.
-  if (!Of && !TakenOver_) {
+  if (!Of && !TakenOver_ && Lease_.EarlierOwnerGone) {
     Orphans_[Task.Task] = {On.Info.Worker, Task.Run, Needs_.Clock.now(), false};
     return;
   }
