Notice an owner that has let go, and fence with what others know

Cause: an owner that was fenced let go, but the others went on to believe in its claim (no service after a power loss, RECOVER); a connection that is refused by a cut was taken for the end of the owner's process; an adopted run counted as lost at once because its session had been silent. Change: pings carry the entry's own word on the owner and the highest token; refused and stopping are told apart; adopting a run notes its lease; a new leader names the entries once all have asked.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -69,7 +69,8 @@
   void pinged(const Endpoint &To, Time Sent, const Outcome<Json::Value> &Reply);
   void answerPing(const Json::Value &Params, const Reply &Answer);
   void answerRun(const Json::Value &Params, const Reply &Answer);
-  void takeClaim(const Json::Value &From);
+  /// Takes and returns the claim that a message carries.
+  OwnerClaim takeClaim(const Json::Value &From);
   void followOwner();
   void dropSilentOrigins(Time Now);
   Json::Value writeClaim() const;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -12,8 +12,8 @@
 //         workers_of?, workers_change?, workers?, entries?}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers and entries.
-//   pool.ping    {from, owner, token, echo_us, stopping}
-//     -> {owner, token, stamp_us, stopping}
+//   pool.ping    {from, owner, token, highest, echo_us, stopping}
+//     -> {owner, token, highest, stamp_us, stopping}
 //   pool.run     {job, left_us, origin, maybe_taken?} -> answer, or {owner, token, not_owner}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -25,6 +25,9 @@
 
 /// An entry that has not asked for so long is gone.
 constexpr Duration EntrySilence = std::chrono::seconds(60);
+/// A new leader names the entries once all have had the time to ask: by a part
+/// of the list several of them would take themselves for the first.
+constexpr Duration EntriesDelay = std::chrono::milliseconds(800);
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
 
@@ -150,6 +153,7 @@
              {{"term", Term_->value()}});
   Scheduler_.reset();
   Term_ = Term;
+  LeadsSince_ = Needs_.Clock.now();
   if (!Term)
     return;
   logEvent(LogLevel::Info, Module, "leads",
@@ -219,8 +223,9 @@
   std::erase_if(Entries_, [&](const auto &Entry) {
     return Now - Entry.second >= EntrySilence;
   });
-  for (const auto &[At, Heard] : Entries_)
-    Into["entries"].append(At.text());
+  if (Now - LeadsSince_ >= EntriesDelay)
+    for (const auto &[At, Heard] : Entries_)
+      Into["entries"].append(At.text());
   auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -85,6 +85,7 @@
   const LeaseSettings Lease_;
   /// The term in which this VM leads.
   std::optional<control::LeaderTerm> Term_;
+  Time LeadsSince_;
   /// Of a leader with durable jobs.
   std::unique_ptr<Scheduler> Scheduler_;
   /// Entries, and when each was last heard.
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -23,6 +23,21 @@
   return static_cast<std::uint64_t>(At.time_since_epoch().count());
 }
 
+/// How long a new owner keeps what the earlier one left.
+Duration keepOrphans(OwnerLoss Loss) {
+  switch (Loss) {
+  case OwnerLoss::LetGo:
+    return std::chrono::milliseconds(1000);
+  case OwnerLoss::Refused:
+    // It was noticed within a ping; an earlier owner that lives gives up its
+    // leases after a second, and the jobs of entries here after OwnerSilence.
+    return std::chrono::milliseconds(400);
+  case OwnerLoss::Silent:
+    break;
+  }
+  return Duration(0);
+}
+
 bool flag(const Json::Value &From, const char *Name) {
   return From[Name].isBool() && From[Name].asBool();
 }
@@ -33,10 +48,17 @@
   Time Now = Needs_.Clock.now();
   if (!ControlSchedules_) {
     auto Claim = claimIfDue(View_, Now, Needs_.Clock.wallNow());
-    if (Claim)
+    if (Claim) {
       logEvent(LogLevel::Info, Module, "pool_claimed",
                {{"token", Claim->Token.value()},
-                {"entries", View_.Ranked.size()}});
+                {"entries", View_.Ranked.size()},
+                {"earlier", View_.Earlier.At.text()},
+                {"loss", static_cast<int>(earlierOwnerLoss(View_))}});
+      // All hear of it at once, so that they hand their jobs in again.
+      for (const Endpoint &Entry : View_.Ranked)
+        if (Entry != Self_)
+          ping(Entry);
+    }
   }
   followOwner();
   dropSilentOrigins(Now);
@@ -64,8 +86,9 @@
                        Needs_.Timers,
                        Needs_.Measured};
   LeaseSettings Lease = Lease_;
-  Lease.EarlierOwnerGone = earlierOwnerGone(View_);
-  Lease.EarlierOwner = Lease.EarlierOwnerGone ? Duration(0) : OwnerSilence;
+  OwnerLoss Loss = earlierOwnerLoss(View_);
+  Lease.EarlierOwner = Loss == OwnerLoss::LetGo ? Duration(0) : OwnerSilence;
+  Lease.KeepOrphans = keepOrphans(Loss);
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
   Scheduler_->takeWorkers(Directory_);
@@ -93,10 +116,14 @@
   Json::Value Result(Json::objectValue);
   Result["owner"] = View_.Owner.At.text();
   Result["token"] = Json::UInt64(View_.Owner.Token.value());
+  Result["highest"] = Json::UInt64(View_.Highest.value());
   return Result;
 }
 
-void EntryJobs::takeClaim(const Json::Value &From) {
+OwnerClaim EntryJobs::takeClaim(const Json::Value &From) {
+  auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
+  if (Highest)
+    noteHighest(View_, FencingToken(*Highest));
   auto Claim = attempt([&]() -> RetVal<OwnerClaim> {
     BOOST_LEAF_AUTO(Token, json::readUint(From, "token"));
     if (Token == 0)
@@ -108,6 +135,7 @@
   if (Claim && noteClaim(View_, *Claim, Needs_.Clock.now()))
     logEvent(LogLevel::Info, Module, "pool_owner",
              {{"owner", Claim->At.text()}, {"token", Claim->Token.value()}});
+  return Claim ? *Claim : OwnerClaim();
 }
 
 void EntryJobs::ping(const Endpoint &To) {
@@ -139,7 +167,7 @@
   Echoes_[To] = (*Result)["stamp_us"].isUInt64()
                     ? (*Result)["stamp_us"].asUInt64()
                     : 0;
-  takeClaim(*Result);
+  noteOwnWord(View_, To, takeClaim(*Result));
 }
 
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
@@ -151,7 +179,7 @@
     return Answer(From.error());
   takeClaim(Params);
   if (flag(Params, "stopping"))
-    noteRefused(View_, *From);
+    noteStopping(View_, *From);
   // The echo is this entry's own clock; one from before its start means
   // nothing, and one from the future is none of its own.
   if (Params["echo_us"].isUInt64() && Params["echo_us"].asUInt64() != 0) {
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -44,7 +44,7 @@
                          return true;
                        auto Found = View.Peers.find(Entry);
                        return Found != View.Peers.end() &&
-                              (Found->second.Answered || Found->second.Away);
+                              (Found->second.Answered || Found->second.Refused);
                      });
 }
 
@@ -64,11 +64,16 @@
   if (Health.Answered && *Health.Answered > Sent)
     return;
   Health.Answered = Sent;
-  Health.Away = Stopping;
+  Health.Refused = false;
+  Health.Stopping = Stopping;
 }
 
 void noteRefused(PoolView &View, const Endpoint &Peer) {
-  View.Peers[Peer].Away = true;
+  View.Peers[Peer].Refused = true;
+}
+
+void noteStopping(PoolView &View, const Endpoint &Peer) {
+  View.Peers[Peer].Stopping = true;
 }
 
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now) {
@@ -78,10 +83,19 @@
   View.Owner = Claim;
   View.LastClaim = Claim.Token;
   if (Claim.At != View.Self)
-    View.Peers[Claim.At] = {Now, false};
+    View.Peers[Claim.At] = {Now, false, false};
   return true;
 }
 
+void noteOwnWord(PoolView &View, const Endpoint &Peer, const OwnerClaim &Word) {
+  if (View.Owner.At == Peer && Word.Token < View.Owner.Token)
+    View.Owner = OwnerClaim();
+}
+
+void noteHighest(PoolView &View, FencingToken Token) {
+  View.Highest = std::max(View.Highest, Token);
+}
+
 void noteFenced(PoolView &View, Time Now) {
   View.NoClaimBefore = Now + FencedPause;
   View.Highest = FencingToken(View.Highest.value() +
@@ -89,17 +103,21 @@
   View.Owner = OwnerClaim();
 }
 
-bool earlierOwnerGone(const PoolView &View) {
+OwnerLoss earlierOwnerLoss(const PoolView &View) {
   auto Found = View.Peers.find(View.Earlier.At);
-  return Found != View.Peers.end() && Found->second.Away;
+  if (Found == View.Peers.end())
+    return OwnerLoss::Silent;
+  if (Found->second.Stopping)
+    return OwnerLoss::LetGo;
+  return Found->second.Refused ? OwnerLoss::Refused : OwnerLoss::Silent;
 }
 
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now) {
   if (Entry == View.Self)
     return !View.Stopping;
   auto Found = View.Peers.find(Entry);
-  return Found != View.Peers.end() && !Found->second.Away &&
-         Found->second.Answered && Now - *Found->second.Answered < DeadAfter;
+  return Found != View.Peers.end() && !Found->second.Refused &&
+         !Found->second.Stopping && Found->second.Answered && Now - *Found->second.Answered < DeadAfter;
 }
 
 bool ownsPool(const PoolView &View) {
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -54,8 +54,18 @@
 struct PeerHealth {
   /// When the request was sent that it answered last.
   std::optional<Time> Answered;
-  /// It has refused connections since, or says that it is stopping.
-  bool Away = false;
+  /// It has refused a connection since: its process is gone, or something
+  /// between refuses in its name.
+  bool Refused = false;
+  /// It says that it is stopping, and lets go of the pool.
+  bool Stopping = false;
+};
+
+/// How the owner before was lost, as far as the next one knows.
+enum class OwnerLoss {
+  LetGo,   ///< It said so, or there was none.
+  Refused, ///< It refuses connections, or something does in its name.
+  Silent,  ///< It does not answer.
 };
 
 struct PoolView {
@@ -85,18 +95,24 @@
 
 /// Notes an answer to a ping that was sent at \p Sent.
 void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping, Time Sent);
-/// Notes that the peer's VM refused the connection: its process is gone.
+/// Notes that a connection to the peer was refused.
 void noteRefused(PoolView &View, const Endpoint &Peer);
+/// Notes that the peer says that it is stopping.
+void noteStopping(PoolView &View, const Endpoint &Peer);
 /// Notes a claim that was heard of. Returns whether the owner changed; a new
 /// owner counts as alive for now.
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now);
+/// Notes what \p Peer itself takes for the owner: if it is believed to be the
+/// owner and says otherwise, it has let go.
+void noteOwnWord(PoolView &View, const Endpoint &Peer, const OwnerClaim &Word);
+/// Notes that claims must be above \p Token, as another entry has found.
+void noteHighest(PoolView &View, FencingToken Token);
 /// Notes that a worker refused this owner's order: somebody else has claimed
 /// the workers, or had in a past that nobody remembers.
 void noteFenced(PoolView &View, Time Now);
 
-/// Whether the owner before this entry's claim is known to have let go: its
-/// process has ended or said that it stops.
-bool earlierOwnerGone(const PoolView &View);
+/// How the owner before this entry's claim was lost.
+OwnerLoss earlierOwnerLoss(const PoolView &View);
 
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
 bool ownsPool(const PoolView &View);
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -16,9 +16,6 @@
 /// How long the end of a job is remembered for callers that send it again
 /// because its answer was lost; they do so within seconds.
 constexpr Duration KeepAnswered = std::chrono::seconds(10);
-/// How long what an earlier owner left is kept for the entries to hand its
-/// jobs in again: about the time in which they notice the change.
-constexpr Duration KeepOrphans = std::chrono::milliseconds(1000);
 /// How often all workers are looked at while jobs wait for that.
 constexpr Duration LookInterval = std::chrono::milliseconds(20);
 
@@ -107,7 +104,7 @@
 void Scheduler::stopOrphans(Time Now) {
   std::vector<TaskId> Old;
   for (const auto &[Task, Left] : Orphans_)
-    if (Now - Left.Since >= KeepOrphans)
+    if (Now - Left.Since >= Lease_.KeepOrphans)
       Old.push_back(Task);
   // What still runs is found again, unknown, and stopped then.
   for (const TaskId &Task : Old)
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -81,9 +81,10 @@
   /// An earlier owner that is cut off gives no lease after this time: by then
   /// it has noticed (see OwnerSilence in poolview.h).
   Duration EarlierOwner{0};
-  /// The earlier owner is known to have let go: it waits for no lease to end,
-  /// so what it left may be kept alive.
-  bool EarlierOwnerGone = false;
+  /// How long what the earlier owner left is kept alive for the entries to hand
+  /// its jobs in again. An owner that has not let go counts on its leases to
+  /// end, so this must be over before.
+  Duration KeepOrphans{0};
   /// How long a worker waits for an end before it answers a hold.
   Duration HoldWait = std::chrono::milliseconds(400);
   /// An answer that is this late is given up.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -97,6 +97,10 @@
   HoldFindings Findings = takeHold(On, Answer, Needs_.Clock.now());
   takeFindings(On, Findings);
   On.Known = true;
+  if (On.Silent)
+    logEvent(LogLevel::Info, Module, "worker_answers",
+             {{"worker", On.Info.Worker}});
+  On.Silent = false;
   On.Foreign = std::any_of(Findings.Found.begin(), Findings.Found.end(),
                            [&](const RunningTask &Each) {
                              return On.Runs.count(Each.Task) == 0 &&
@@ -129,9 +133,6 @@
     });
     return;
   }
-  if (With->Silent)
-    logEvent(LogLevel::Info, Module, "worker_answers", {{"worker", Worker}});
-  With->Silent = false;
   takeAnswer(*With, Sent, *Answer);
   // With ends to record the next hold waits for the log, since the worker
   // would answer it at once with the same ends.
@@ -185,7 +186,7 @@
   if (Record && !Record->Done && Places_.count(Task.Task) == 0)
     return adopt(On, Task);
   // The entry that waits for an unknown job hands it in again.
-  if (!Of && !TakenOver_ && Lease_.EarlierOwnerGone) {
+  if (!Of && !TakenOver_ && Lease_.KeepOrphans != Duration(0)) {
     Orphans_[Task.Task] = {On.Info.Worker, Task.Run, Needs_.Clock.now(), false};
     return;
   }
@@ -213,9 +214,12 @@
     Queue_.erase(Rank->second);
     Ranks_.erase(Rank);
   }
+  Time Now = Needs_.Clock.now();
   addRun(On, Task.Task,
-         Run{Task.Run, Of.Spec.Steps[Task.Task.Step].Needs, Needs_.Clock.now(),
-             true, false, On.Clock});
+         Run{Task.Run, Of.Spec.Steps[Task.Task.Step].Needs, Now, true, false,
+             On.Clock});
+  // It runs under a lease that an earlier owner gave, perhaps just now.
+  noteLease(On, Lease_, Now);
   Places_[Task.Task] = On.Info.Worker;
   RunNumber &Last = LastRuns_[Task.Task];
   Last = std::max(Last, Task.Run);
