Keep orphaned runs for one span only

Change: one span after the take-over; then such runs are stopped, and their workers get no lease before they are gone.

--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -43,7 +43,8 @@
                    ? std::make_unique<Batcher>(*Needs_.Log, Needs_.Timers)
                    : nullptr),
       TakenOverAt_(Needs_.Clock.now() + Lease.EarlierOwner +
-                   leaseBound(Lease)) {
+                   leaseBound(Lease)),
+      OrphansUntil_(Needs_.Clock.now() + Lease.KeepOrphans) {
   std::size_t Active = 0;
   for (const auto &[Id, Each] : Needs_.Store.Jobs) {
     if (Each.State == JobState::Active) {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -183,11 +183,12 @@
   struct Orphan {
     WorkerId Worker;
     RunNumber Run;
-    Time Since;
     /// It has ended well; else it runs.
     bool Done = false;
   };
   std::unordered_map<TaskId, Orphan> Orphans_;
+  /// Those that run are kept until then.
+  Time OrphansUntil_;
   /// Jobs that may run under another owner, and since when they wait.
   std::unordered_map<JobId, Time> Unsettled_;
   Time LookedAround_;
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -102,13 +102,18 @@
 }
 
 void Scheduler::stopOrphans(Time Now) {
-  std::vector<TaskId> Old;
-  for (const auto &[Task, Left] : Orphans_)
-    if (Now - Left.Since >= Lease_.KeepOrphans)
-      Old.push_back(Task);
-  // What still runs is found again, unknown, and stopped then.
-  for (const TaskId &Task : Old)
-    Orphans_.erase(Task);
+  if (Now < OrphansUntil_ || Orphans_.empty())
+    return;
+  for (const auto &[Task, Left] : Orphans_) {
+    WorkerSession *On = session(Left.Worker);
+    if (Left.Done || !On)
+      continue;
+    On->Foreign = true;
+    Needs_.Workers.stop({Left.Worker, On->Info.At}, {Task, Left.Run, Token_});
+  }
+  std::erase_if(Orphans_, [&](const auto &Entry) {
+    return !Entry.second.Done || Now >= OrphansUntil_ + KeepAnswered;
+  });
 }
 
 void Scheduler::cancelTransient(const JobId &Id, const char *Reason) {
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -147,7 +147,7 @@
     auto Left = Orphans_.find(End.Task);
     bool Unknown = !TakenOver_ && !jobOf(End.Task.Job);
     if (Unknown && End.How == EndKind::Done)
-      Orphans_[End.Task] = {On.Info.Worker, End.Run, Needs_.Clock.now(), true};
+      Orphans_[End.Task] = {On.Info.Worker, End.Run, true};
     else if (Left != Orphans_.end() && Left->second.Worker == On.Info.Worker) {
       Left->second.Done = End.How == EndKind::Done;
       if (!Left->second.Done)
@@ -186,12 +186,10 @@
   if (Record && !Record->Done && Places_.count(Task.Task) == 0)
     return adopt(On, Task);
   // The entry that waits for an unknown job hands it in again.
-  if (!Of && !TakenOver_ && Lease_.KeepOrphans != Duration(0)) {
-    Orphans_[Task.Task] = {On.Info.Worker, Task.Run, Needs_.Clock.now(), false};
+  if (!Of && Needs_.Clock.now() < OrphansUntil_) {
+    Orphans_[Task.Task] = {On.Info.Worker, Task.Run, false};
     return;
   }
-  if (!Of && Orphans_.count(Task.Task) != 0)
-    return;
   logEvent(LogLevel::Info, Module, "run_unwanted",
            {{"job", Task.Task.Job},
             {"step", Task.Task.Step},
