Let the losers of a claim follow the winner

Change: a claim waits for a look around after the list came; a fencing counts only for the claim that was fenced; an owner's own word brings its claim back.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -51,8 +51,7 @@
                {[this] { return askControl(); },
                 [this](const Json::Value &Result) { takeControl(Result); }}) {
   View_.Self = Self_;
-  View_.Started = Needs_.Clock.now();
-  takeEntries(View_, {});
+  takeEntries(View_, {}, Needs_.Clock.now());
 }
 
 void EntryJobs::start() {
@@ -180,7 +179,7 @@
   if (!Result && !Refused)
     What->MaybeTaken = true;
   if (Result) {
-    takeClaim(*Result);
+    takeClaim(*Result, From);
     if (Result->isMember("maybe_taken"))
       What->MaybeTaken = true;
   }
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -70,7 +70,7 @@
   void answerPing(const Json::Value &Params, const Reply &Answer);
   void answerRun(const Json::Value &Params, const Reply &Answer);
   /// Takes and returns the claim that a message carries.
-  OwnerClaim takeClaim(const Json::Value &From);
+  OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
   void followOwner();
   void dropSilentOrigins(Time Now);
   Json::Value writeClaim() const;
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -89,7 +89,7 @@
   std::vector<Endpoint> Known;
   for (const auto &[At, Named] : Entries_)
     Known.push_back(At);
-  takeEntries(View_, Known);
+  takeEntries(View_, Known, Now);
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -78,7 +78,9 @@
   if (!Owns || Scheduler_)
     return;
   SchedulerNeeds Needs{[this] { return ownsPool(View_); },
-                       [this] { noteFenced(View_, Needs_.Clock.now()); },
+                       [this, Token = View_.Owner.Token] {
+                         noteFenced(View_, Token, Needs_.Clock.now());
+                       },
                        nullptr,
                        NoDurableJobs_,
                        Needs_.Workers,
@@ -120,7 +122,8 @@
   return Result;
 }
 
-OwnerClaim EntryJobs::takeClaim(const Json::Value &From) {
+OwnerClaim EntryJobs::takeClaim(const Json::Value &From,
+                                const Endpoint &Speaker) {
   auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
   if (Highest)
     noteHighest(View_, FencingToken(*Highest));
@@ -132,7 +135,7 @@
     BOOST_LEAF_AUTO(At, parseEndpoint(Text));
     return OwnerClaim{At, FencingToken(Token)};
   });
-  if (Claim && noteClaim(View_, *Claim, Needs_.Clock.now()))
+  if (Claim && noteClaim(View_, *Claim, Speaker, Needs_.Clock.now()))
     logEvent(LogLevel::Info, Module, "pool_owner",
              {{"owner", Claim->At.text()}, {"token", Claim->Token.value()}});
   return Claim ? *Claim : OwnerClaim();
@@ -167,7 +170,7 @@
   Echoes_[To] = (*Result)["stamp_us"].isUInt64()
                     ? (*Result)["stamp_us"].asUInt64()
                     : 0;
-  noteOwnWord(View_, To, takeClaim(*Result));
+  noteOwnWord(View_, To, takeClaim(*Result, To));
 }
 
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
@@ -177,7 +180,7 @@
   });
   if (!From)
     return Answer(From.error());
-  takeClaim(Params);
+  noteOwnWord(View_, *From, takeClaim(Params, *From));
   if (flag(Params, "stopping"))
     noteStopping(View_, *From);
   // The echo is this entry's own clock; one from before its start means
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -34,9 +34,9 @@
 /// Whether enough time has passed, or all others were heard, so that an owner
 /// that is there would be known.
 bool hasLookedAround(const PoolView &View, Time Now) {
-  if (!View.HasPeers)
+  if (!View.PeersSince)
     return false;
-  if (Now - View.Started >= DeadAfter)
+  if (Now - *View.PeersSince >= DeadAfter)
     return true;
   return std::all_of(View.Ranked.begin(), View.Ranked.end(),
                      [&](const Endpoint &Entry) {
@@ -50,9 +50,11 @@
 
 } // namespace
 
-void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries) {
+void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries,
+                 Time Now) {
   View.Ranked = Entries;
-  View.HasPeers = View.HasPeers || !Entries.empty();
+  if (!View.PeersSince && !Entries.empty())
+    View.PeersSince = Now;
   if (std::find(Entries.begin(), Entries.end(), View.Self) == Entries.end())
     View.Ranked.push_back(View.Self);
   std::sort(View.Ranked.begin(), View.Ranked.end());
@@ -76,9 +78,12 @@
   View.Peers[Peer].Stopping = true;
 }
 
-bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now) {
+bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
+               Time Now) {
   View.Highest = std::max(View.Highest, Claim.Token);
-  if (Claim.Token <= View.LastClaim)
+  bool OwnWord = Claim.At == Speaker && Claim.Token == View.LastClaim &&
+                 View.Owner.Token == FencingToken(0);
+  if (Claim.Token <= View.LastClaim && !OwnWord)
     return false;
   View.Owner = Claim;
   View.LastClaim = Claim.Token;
@@ -96,7 +101,9 @@
   View.Highest = std::max(View.Highest, Token);
 }
 
-void noteFenced(PoolView &View, Time Now) {
+void noteFenced(PoolView &View, FencingToken Token, Time Now) {
+  if (View.Owner.Token != Token)
+    return;
   View.NoClaimBefore = Now + FencedPause;
   View.Highest = FencingToken(View.Highest.value() +
                               FencedStepMillis * TokensPerMilli);
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -70,12 +70,11 @@
 
 struct PoolView {
   Endpoint Self;
-  Time Started;
   /// All entries, this one included, by rank.
   std::vector<Endpoint> Ranked;
-  /// A list of the entries has been heard. An entry that has just started and
-  /// knows nobody claims nothing.
-  bool HasPeers = false;
+  /// When a list of the entries was first heard. An entry that has just started
+  /// and knows nobody claims nothing.
+  std::optional<Time> PeersSince;
   std::map<Endpoint, PeerHealth> Peers;
   OwnerClaim Owner;
   /// The owner before; only of an entry that has claimed the pool.
@@ -90,8 +89,9 @@
   bool Stopping = false;
 };
 
-/// Takes the entries that there are.
-void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries);
+/// Takes the entries that there are; an empty list means that none is known.
+void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries,
+                 Time Now);
 
 /// Notes an answer to a ping that was sent at \p Sent.
 void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping, Time Sent);
@@ -99,9 +99,11 @@
 void noteRefused(PoolView &View, const Endpoint &Peer);
 /// Notes that the peer says that it is stopping.
 void noteStopping(PoolView &View, const Endpoint &Peer);
-/// Notes a claim that was heard of. Returns whether the owner changed; a new
-/// owner counts as alive for now.
-bool noteClaim(PoolView &View, const OwnerClaim &Claim, Time Now);
+/// Notes a claim that \p Speaker passed on. Returns whether the owner changed; a
+/// new owner counts as alive for now. The last claim itself comes back into
+/// force by its owner's own word only: others may not know that it let go.
+bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
+               Time Now);
 /// Notes what \p Peer itself takes for the owner: if it is believed to be the
 /// owner and says otherwise, it has let go.
 void noteOwnWord(PoolView &View, const Endpoint &Peer, const OwnerClaim &Word);
@@ -109,7 +111,9 @@
 void noteHighest(PoolView &View, FencingToken Token);
 /// Notes that a worker refused this owner's order: somebody else has claimed
 /// the workers, or had in a past that nobody remembers.
-void noteFenced(PoolView &View, Time Now);
+/// \p Token is what the order carried; nothing happens if another claim is in
+/// force by now.
+void noteFenced(PoolView &View, FencingToken Token, Time Now);
 
 /// How the owner before this entry's claim was lost.
 OwnerLoss earlierOwnerLoss(const PoolView &View);
