Settle between two owners by their workers, and start fresh jobs at once

Cause: after a zone cut the owner with the higher token won, whatever its size, and hundreds of jobs changed hands (205 of 283 failed in the two seconds after a heal); after a take-over all jobs waited for leases of workers that could not be reached, though only jobs that another owner had may run there.

--- a/src/framework/net/httpserver.cpp
+++ b/src/framework/net/httpserver.cpp
@@ -71,6 +71,8 @@
       return;
     h2o_req_t *Req = Req_;
     end();
+    // What waits for the client to go may hold this exchange in turn.
+    auto Released = std::exchange(Gone_, nullptr);
     Req->res.status = Response.Status;
     Req->res.reason = "";
     if (Closing_)
--- a/src/jobs/ijobgateway.h
+++ b/src/jobs/ijobgateway.h
@@ -52,8 +52,10 @@
 
   virtual ~IJobGateway() = default;
 
-  virtual void submit(const JobRequest &Request, const JobSpec &Spec,
-                      Callback Done) = 0;
+  /// Returns a function that gives the request up: its caller has gone. A
+  /// transient job that nobody waits for is stopped.
+  virtual std::function<void()> submit(const JobRequest &Request,
+                                       const JobSpec &Spec, Callback Done) = 0;
   /// The state of the job at the request's path.
   virtual void state(const JobRequest &Request, Callback Done) = 0;
   virtual void cancel(const JobRequest &Request, Callback Done) = 0;
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -14,6 +14,8 @@
 struct EntryJobs::Ask {
   Job Wanted;
   Callback Done;
+  /// Names this request at the owner.
+  WaiterId Own;
   /// The caller waits until then.
   Time GiveUp;
   /// Without an owner the job is given up then.
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -63,6 +63,10 @@
                        [this](const Json::Value &Params, const Reply &Answer) {
                          answerRun(Params, Answer);
                        });
+  Needs_.Server.method(wire::method::Drop,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         answerDrop(Params, Answer);
+                       });
   Control_.start();
   tick();
   pingAll();
@@ -77,23 +81,56 @@
          isAlive(View_, View_.Owner.At, Needs_.Clock.now());
 }
 
-void EntryJobs::submit(const JobRequest &Request, const JobSpec &Spec,
-                       Callback Done) {
-  if (RoutingFrom_ == ConfigVersion(0))
-    return Done(notTaken("this entry has no configuration yet"));
+std::function<void()> EntryJobs::submit(const JobRequest &Request,
+                                        const JobSpec &Spec, Callback Done) {
+  auto Nothing = [] {
+    // It is answered, or a durable job, which goes on without its caller.
+  };
+  if (RoutingFrom_ == ConfigVersion(0)) {
+    Done(notTaken("this entry has no configuration yet"));
+    return Nothing;
+  }
   QueueMatch Where = findQueue(Routing_, Request.Host, Request.Path);
-  if (!Where.Found)
-    return Done(outcome(JobOutcome::NoQueue));
-  if (!Spec.Transient || ControlSchedules_)
-    return Control_.submit(Request, Spec, std::move(Done));
+  if (!Where.Found) {
+    Done(outcome(JobOutcome::NoQueue));
+    return Nothing;
+  }
+  if (!Spec.Transient || ControlSchedules_) {
+    Control_.submit(Request, Spec, std::move(Done));
+    return Nothing;
+  }
   Time Now = Needs_.Clock.now();
   auto What = std::make_shared<Ask>();
   What->Wanted = newJob(Where, Spec);
   What->Done = std::move(Done);
+  What->Own = {Self_, ++LastSerial_};
   What->GiveUp = Now + Request.Timeout;
   What->SearchUntil = Now + SearchTime;
   Asks_.insert(What);
   dispatch(What);
+  return [this, What] { abandon(What); };
+}
+
+void EntryJobs::abandon(const AskPtr &What) {
+  if (Asks_.erase(What) == 0)
+    return;
+  ++What->Attempt;
+  logEvent(LogLevel::Info, Module, "caller_gone", {{"job", What->Wanted.Id}});
+  if (!What->SentTo)
+    return;
+  if (What->SentTo->At == Self_) {
+    if (Scheduler_)
+      Scheduler_->dropWaiter(What->Wanted.Id, What->Own);
+    return;
+  }
+  Json::Value Params(Json::objectValue);
+  Params["job"] = What->Wanted.Id.value();
+  Params["origin"] = Self_.text();
+  Params["serial"] = Json::UInt64(What->Own.Serial);
+  Needs_.Client.call(What->SentTo->At, wire::method::Drop, std::move(Params),
+                     SearchTime, [](const Outcome<Json::Value> & /*Result*/) {
+                       // At worst the job runs for nobody.
+                     });
 }
 
 void EntryJobs::state(const JobRequest &Request, Callback Done) {
@@ -132,7 +169,7 @@
   What->SentTo = View_.Owner;
   if (!Scheduler_ || !ownsPool(View_))
     return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
-  Scheduler_->run(What->Wanted, What->GiveUp - Now, Self_, What->MaybeTaken,
+  Scheduler_->run(What->Wanted, What->GiveUp - Now, What->Own, What->MaybeTaken,
                   [this, What, Attempt = What->Attempt](
                       const Outcome<JobState> &Ended) {
                     if (Attempt != What->Attempt)
@@ -150,6 +187,7 @@
   Params["job"] = wire::write(What->Wanted);
   Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
   Params["origin"] = Self_.text();
+  Params["serial"] = Json::UInt64(What->Own.Serial);
   if (What->MaybeTaken)
     Params["maybe_taken"] = true;
   Endpoint To = What->SentTo->At;
@@ -197,7 +235,7 @@
   std::vector<AskPtr> Due;
   for (const AskPtr &What : Asks_)
     // One that waits for an owner who is no more is sent to the next.
-    if (!What->SentTo || What->SentTo->Token != View_.Owner.Token)
+    if (!What->SentTo || What->SentTo->At != View_.Owner.At)
       Due.push_back(What);
   for (const AskPtr &What : Due) {
     if (What->SentTo) {
@@ -213,7 +251,7 @@
   }
 }
 
-void EntryJobs::finish(const AskPtr &What, const JobAnswer &Answer) {
+void EntryJobs::finish(AskPtr What, const JobAnswer &Answer) {
   if (Asks_.erase(What) == 0)
     return;
   ++What->Attempt;
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -39,8 +39,8 @@
   /// Offers the methods and starts; called once.
   void start();
 
-  void submit(const JobRequest &Request, const JobSpec &Spec,
-              Callback Done) override;
+  std::function<void()> submit(const JobRequest &Request, const JobSpec &Spec,
+                               Callback Done) override;
   void state(const JobRequest &Request, Callback Done) override;
   void cancel(const JobRequest &Request, Callback Done) override;
   void pending(const JobRequest &Request, Callback Done) override;
@@ -68,9 +68,14 @@
   void ping(const Endpoint &To);
   void pinged(const Endpoint &To, Time Sent, const Outcome<Json::Value> &Reply);
   void answerPing(const Json::Value &Params, const Reply &Answer);
+  void answerDrop(const Json::Value &Params, const Reply &Answer);
   void answerRun(const Json::Value &Params, const Reply &Answer);
   /// Takes and returns the claim that a message carries.
   OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
+  /// Settles with another owner which of the two goes on.
+  void meetOwner(const Json::Value &From, const OwnerClaim &Word,
+                 const Endpoint &Speaker);
+  void pingEntries();
   void followOwner();
   void dropSilentOrigins(Time Now);
   Json::Value writeClaim() const;
@@ -80,7 +85,9 @@
   void sendToOwner(const AskPtr &What);
   void answered(const AskPtr &What, std::uint64_t Attempt, const Endpoint &From,
                 const Outcome<Json::Value> &Result);
-  void finish(const AskPtr &What, const JobAnswer &Answer);
+  /// Keeps \p What alive while its caller is answered.
+  void finish(AskPtr What, const JobAnswer &Answer);
+  void abandon(const AskPtr &What);
   void park(const AskPtr &What);
   void redispatchParked();
 
@@ -114,6 +121,7 @@
 
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
+  std::uint64_t LastSerial_ = 0;
 };
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -28,6 +28,8 @@
 /// How often changes of the configuration and of the workers are asked for. A
 /// worker that drains must get no work two seconds after it was acknowledged.
 constexpr Duration ProbeInterval = std::chrono::milliseconds(300);
+/// The same while no leader is known.
+constexpr Duration SearchInterval = std::chrono::milliseconds(100);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
 /// A leader that has not confirmed itself for this long may be none any more.
 constexpr Duration ReadyFor = std::chrono::milliseconds(2500);
@@ -185,7 +187,7 @@
   Client_.call(To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout, [this, To](const Outcome<Json::Value> &Result) {
                  probed(To, Result);
                });
-  Timers_.after(ProbeInterval, [this] { probe(); });
+  Timers_.after(ready() ? ProbeInterval : SearchInterval, [this] { probe(); });
 }
 
 void JobGateway::probed(const Endpoint &From,
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -12,9 +12,11 @@
 //         workers_of?, workers_change?, workers?, entries?}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers and entries.
-//   pool.ping    {from, owner, token, highest, echo_us, stopping}
-//     -> {owner, token, highest, stamp_us, stopping}
-//   pool.run     {job, left_us, origin, maybe_taken?} -> answer, or {owner, token, not_owner}
+//   pool.ping    {from, CLAIM, echo_us, stopping} -> {CLAIM, stamp_us, stopping}
+//     where CLAIM is owner, token, highest, workers? (of an owner), rival?,
+//     rival_token?
+//   pool.run     {job, left_us, origin, serial, maybe_taken?} -> answer, or {owner, token, not_owner}
+//   pool.drop    {job, origin, serial} -> {}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
@@ -44,6 +46,7 @@
 constexpr const char *Sync = "jobs.sync";
 constexpr const char *Ping = "pool.ping";
 constexpr const char *Run = "pool.run";
+constexpr const char *Drop = "pool.drop";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
 constexpr const char *Share = "workers.share";
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -27,7 +27,7 @@
 constexpr Duration EntrySilence = std::chrono::seconds(60);
 /// A new leader names the entries once all have had the time to ask: by a part
 /// of the list several of them would take themselves for the first.
-constexpr Duration EntriesDelay = std::chrono::milliseconds(800);
+constexpr Duration EntriesDelay = std::chrono::milliseconds(300);
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
 
@@ -282,7 +282,7 @@
   Time Began = Needs_.Clock.now();
   JobId Id = New.Id;
   Scheduler_->run(
-      std::move(New), Patience, Endpoint(), true,
+      std::move(New), Patience, WaiterId(), true,
       [this, Answer, Id, Began](const Outcome<JobState> &Ended) {
         Duration Took = Needs_.Clock.now() - Began;
         Needs_.Measured.observe("geraniumbay_transient_job_seconds",
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -38,6 +38,20 @@
   return Duration(0);
 }
 
+RetVal<OwnerClaim> readClaim(const Json::Value &From, const char *At,
+                             const char *Token) {
+  BOOST_LEAF_AUTO(Number, json::readUintOr(From, Token, 0));
+  if (Number == 0)
+    return OwnerClaim();
+  BOOST_LEAF_AUTO(Text, json::readString(From, At));
+  BOOST_LEAF_AUTO(Address, parseEndpoint(Text));
+  return OwnerClaim{Address, FencingToken(Number)};
+}
+
+std::uint64_t serialOf(const Json::Value &From) {
+  return From["serial"].isUInt64() ? From["serial"].asUInt64() : 0;
+}
+
 bool flag(const Json::Value &From, const char *Name) {
   return From[Name].isBool() && From[Name].asBool();
 }
@@ -54,10 +68,7 @@
                 {"entries", View_.Ranked.size()},
                 {"earlier", View_.Earlier.At.text()},
                 {"loss", static_cast<int>(earlierOwnerLoss(View_))}});
-      // All hear of it at once, so that they hand their jobs in again.
-      for (const Endpoint &Entry : View_.Ranked)
-        if (Entry != Self_)
-          ping(Entry);
+      pingEntries();
     }
   }
   followOwner();
@@ -68,7 +79,13 @@
 
 void EntryJobs::followOwner() {
   bool Owns = ownsPool(View_) && !ControlSchedules_;
-  if (Scheduler_ && (!Owns || Scheduler_->token() != View_.Owner.Token)) {
+  if (Scheduler_ && Owns && Scheduler_->token() != View_.Owner.Token) {
+    logEvent(LogLevel::Info, Module, "pool_token_raised",
+             {{"token", View_.Owner.Token.value()}});
+    Scheduler_->raiseToken(View_.Owner.Token);
+    pingEntries();
+  }
+  if (Scheduler_ && !Owns) {
     logEvent(LogLevel::Warning, Module, "pool_let_go",
              {{"token", Scheduler_->token().value()},
               {"owner", View_.Owner.At.text()},
@@ -78,8 +95,9 @@
   if (!Owns || Scheduler_)
     return;
   SchedulerNeeds Needs{[this] { return ownsPool(View_); },
-                       [this, Token = View_.Owner.Token] {
-                         noteFenced(View_, Token, Needs_.Clock.now());
+                       [this] {
+                         noteFenced(View_, Scheduler_->token(),
+                                    Needs_.Clock.now());
                        },
                        nullptr,
                        NoDurableJobs_,
@@ -114,11 +132,41 @@
   Needs_.Timers.after(PingInterval, [this] { pingAll(); });
 }
 
+void EntryJobs::pingEntries() {
+  // All hear of the claim at once, so that they hand their jobs in again.
+  for (const Endpoint &Entry : View_.Ranked)
+    if (Entry != Self_)
+      ping(Entry);
+}
+
+void EntryJobs::meetOwner(const Json::Value &From, const OwnerClaim &Word,
+                          const Endpoint &Speaker) {
+  if (Word.At != Speaker || Word.Token == FencingToken(0) || !Scheduler_ ||
+      !ownsPool(View_) || !From["workers"].isUInt64())
+    return;
+  std::uint64_t Own = Scheduler_->workers();
+  std::uint64_t Others = From["workers"].asUInt64();
+  bool Changed = meetRival(View_, Word, Own, Others, Needs_.Clock.now(),
+                           Needs_.Clock.wallNow());
+  if (Changed)
+    logEvent(LogLevel::Info, Module, "pool_owners_met",
+             {{"other", Speaker.text()},
+              {"workers", Own},
+              {"others_workers", Others},
+              {"owner", View_.Owner.At.text()}});
+}
+
 Json::Value EntryJobs::writeClaim() const {
   Json::Value Result(Json::objectValue);
   Result["owner"] = View_.Owner.At.text();
   Result["token"] = Json::UInt64(View_.Owner.Token.value());
   Result["highest"] = Json::UInt64(View_.Highest.value());
+  if (Scheduler_ && ownsPool(View_))
+    Result["workers"] = Json::UInt64(Scheduler_->workers());
+  if (View_.Rival.Token != FencingToken(0)) {
+    Result["rival"] = View_.Rival.At.text();
+    Result["rival_token"] = Json::UInt64(View_.Rival.Token.value());
+  }
   return Result;
 }
 
@@ -127,14 +175,11 @@
   auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
   if (Highest)
     noteHighest(View_, FencingToken(*Highest));
-  auto Claim = attempt([&]() -> RetVal<OwnerClaim> {
-    BOOST_LEAF_AUTO(Token, json::readUint(From, "token"));
-    if (Token == 0)
-      return OwnerClaim();
-    BOOST_LEAF_AUTO(Text, json::readString(From, "owner"));
-    BOOST_LEAF_AUTO(At, parseEndpoint(Text));
-    return OwnerClaim{At, FencingToken(Token)};
-  });
+  auto Rival =
+      attempt([&] { return readClaim(From, "rival", "rival_token"); });
+  if (Rival)
+    noteClaim(View_, *Rival, Endpoint(), Needs_.Clock.now());
+  auto Claim = attempt([&] { return readClaim(From, "owner", "token"); });
   if (Claim && noteClaim(View_, *Claim, Speaker, Needs_.Clock.now()))
     logEvent(LogLevel::Info, Module, "pool_owner",
              {{"owner", Claim->At.text()}, {"token", Claim->Token.value()}});
@@ -170,7 +215,9 @@
   Echoes_[To] = (*Result)["stamp_us"].isUInt64()
                     ? (*Result)["stamp_us"].asUInt64()
                     : 0;
-  noteOwnWord(View_, To, takeClaim(*Result, To));
+  OwnerClaim Word = takeClaim(*Result, To);
+  noteOwnWord(View_, To, Word);
+  meetOwner(*Result, Word, To);
 }
 
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
@@ -180,7 +227,10 @@
   });
   if (!From)
     return Answer(From.error());
-  noteOwnWord(View_, *From, takeClaim(Params, *From));
+  noteHeard(View_, *From, Needs_.Clock.now());
+  OwnerClaim Word = takeClaim(Params, *From);
+  noteOwnWord(View_, *From, Word);
+  meetOwner(Params, Word, *From);
   if (flag(Params, "stopping"))
     noteStopping(View_, *From);
   // The echo is this entry's own clock; one from before its start means
@@ -197,6 +247,19 @@
   Answer(std::move(Result));
 }
 
+void EntryJobs::answerDrop(const Json::Value &Params, const Reply &Answer) {
+  auto Job = attempt([&] { return json::readString(Params, "job"); });
+  auto Origin = attempt([&]() -> RetVal<Endpoint> {
+    BOOST_LEAF_AUTO(Text, json::readString(Params, "origin"));
+    return parseEndpoint(Text);
+  });
+  if (!Job || !Origin)
+    return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
+  if (Scheduler_)
+    Scheduler_->dropWaiter(JobId(*Job), {*Origin, serialOf(Params)});
+  Answer(Json::Value(Json::objectValue));
+}
+
 void EntryJobs::answerRun(const Json::Value &Params, const Reply &Answer) {
   auto Wanted = attempt([&] { return wire::readJob(Params["job"]); });
   auto Origin = attempt([&]() -> RetVal<Endpoint> {
@@ -218,7 +281,8 @@
   Time Now = Needs_.Clock.now();
   Contacts_.try_emplace(*Origin, Now);
   Scheduler_->run(std::move(*Wanted),
-                  Duration(static_cast<Duration::rep>(*Left)), *Origin,
+                  Duration(static_cast<Duration::rep>(*Left)),
+                  {*Origin, serialOf(Params)},
                   flag(Params, "maybe_taken"),
                   [Answer, NotOwner](const Outcome<JobState> &Ended) {
                     if (Ended)
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -48,6 +48,35 @@
                      });
 }
 
+void adopt(PoolView &View, const OwnerClaim &Claim, Time Now) {
+  View.Owner = Claim;
+  View.LastClaim = std::max(View.LastClaim, Claim.Token);
+  View.Rival = OwnerClaim();
+  if (Claim.At != View.Self)
+    View.Peers[Claim.At] = {Now, Now, false, false};
+}
+
+/// Whether more than half of the entries, this one included, were heard lately.
+bool hearsHalf(const PoolView &View, Time Now) {
+  std::size_t Count = 0;
+  for (const Endpoint &Entry : View.Ranked) {
+    auto Found = View.Peers.find(Entry);
+    bool Heard = Found != View.Peers.end() && Found->second.Heard &&
+                 Now - *Found->second.Heard < DeadAfter;
+    if (Entry == View.Self || Heard || isAlive(View, Entry, Now))
+      ++Count;
+  }
+  return Count * 2 > View.Ranked.size();
+}
+
+/// A token of this entry above all that it has heard of.
+FencingToken tokenAbove(const PoolView &View, WallMillis Wall) {
+  std::uint64_t Millis =
+      std::max(static_cast<std::uint64_t>(std::max<WallMillis>(Wall, 0)),
+               View.Highest.value() / TokensPerMilli + 1);
+  return FencingToken(Millis * TokensPerMilli + numberOf(View.Self));
+}
+
 } // namespace
 
 void takeEntries(PoolView &View, const std::vector<Endpoint> &Entries,
@@ -78,17 +107,31 @@
   View.Peers[Peer].Stopping = true;
 }
 
+void noteHeard(PoolView &View, const Endpoint &Peer, Time Now) {
+  View.Peers[Peer].Heard = Now;
+}
+
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
                Time Now) {
   View.Highest = std::max(View.Highest, Claim.Token);
-  bool OwnWord = Claim.At == Speaker && Claim.Token == View.LastClaim &&
-                 View.Owner.Token == FencingToken(0);
+  if (Claim.Token == FencingToken(0) || Claim.At == View.Self)
+    return false;
+  bool Owned = View.Owner.Token != FencingToken(0);
+  if (Owned && Claim.At == View.Owner.At) {
+    View.Owner.Token = std::max(View.Owner.Token, Claim.Token);
+    View.LastClaim = std::max(View.LastClaim, Claim.Token);
+    return false;
+  }
+  bool Bound = Owned && isAlive(View, View.Owner.At, Now);
+  if (Bound && Speaker != View.Owner.At) {
+    View.Rival = Claim;
+    return false;
+  }
+  bool OwnWord =
+      !Owned && Claim.At == Speaker && Claim.Token == View.LastClaim;
   if (Claim.Token <= View.LastClaim && !OwnWord)
     return false;
-  View.Owner = Claim;
-  View.LastClaim = Claim.Token;
-  if (Claim.At != View.Self)
-    View.Peers[Claim.At] = {Now, false, false};
+  adopt(View, Claim, Now);
   return true;
 }
 
@@ -102,14 +145,36 @@
 }
 
 void noteFenced(PoolView &View, FencingToken Token, Time Now) {
-  if (View.Owner.Token != Token)
+  if (View.Owner.Token != Token || View.Owner.At != View.Self)
     return;
-  View.NoClaimBefore = Now + FencedPause;
   View.Highest = FencingToken(View.Highest.value() +
                               FencedStepMillis * TokensPerMilli);
+  if (hearsHalf(View, Now)) {
+    View.Owner.Token = tokenAbove(View, 0);
+    View.Highest = View.LastClaim = View.Owner.Token;
+    return;
+  }
+  View.NoClaimBefore = Now + FencedPause;
   View.Owner = OwnerClaim();
 }
 
+bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
+               std::uint64_t Others, Time Now, WallMillis Wall) {
+  if (!ownsPool(View) || Other.At == View.Self)
+    return false;
+  View.Rival = OwnerClaim();
+  bool Larger = Own != Others ? Own > Others : View.Self < Other.At;
+  if (Larger == (View.Owner.Token > Other.Token))
+    return false;
+  if (!Larger) {
+    adopt(View, Other, Now);
+    return true;
+  }
+  View.Owner.Token = tokenAbove(View, Wall);
+  View.Highest = View.LastClaim = View.Owner.Token;
+  return true;
+}
+
 OwnerLoss earlierOwnerLoss(const PoolView &View) {
   auto Found = View.Peers.find(View.Earlier.At);
   if (Found == View.Peers.end())
@@ -143,9 +208,12 @@
       ++Alive;
   }
   bool Owned = View.Owner.Token != FencingToken(0) && !ownsPool(View);
-  if (Owned && View.Owner.At != View.Self &&
-      std::find(Targets.begin(), Targets.end(), View.Owner.At) == Targets.end())
-    Targets.push_back(View.Owner.At);
+  Endpoint Extra = Owned ? View.Owner.At : View.Self;
+  if (ownsPool(View) && View.Rival.Token != FencingToken(0))
+    Extra = View.Rival.At;
+  if (Extra != View.Self &&
+      std::find(Targets.begin(), Targets.end(), Extra) == Targets.end())
+    Targets.push_back(Extra);
   return Targets;
 }
 
@@ -156,14 +224,9 @@
   if (Owned || View.Stopping || Now < View.NoClaimBefore ||
       !hasLookedAround(View, Now) || firstAlive(View, Now) != View.Self)
     return std::nullopt;
-  std::uint64_t Millis =
-      std::max(static_cast<std::uint64_t>(std::max<WallMillis>(Wall, 0)),
-               View.Highest.value() / TokensPerMilli + 1);
   View.Earlier = View.Owner;
-  View.Owner = {View.Self,
-                FencingToken(Millis * TokensPerMilli + numberOf(View.Self))};
-  View.Highest = View.Owner.Token;
-  View.LastClaim = View.Owner.Token;
+  View.Owner = {View.Self, tokenAbove(View, Wall)};
+  View.Highest = View.LastClaim = View.Owner.Token;
   return View.Owner;
 }
 
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -10,8 +10,9 @@
 //     which has not heard the entry for OwnerSilence, has stopped the job.
 //
 // Entries are ranked. An owner stays the owner as long as it is alive; then the
-// first entry that is alive takes over with a higher token. Of two owners that
-// hear of each other the one with the higher token goes on.
+// first entry that is alive takes over with a higher token. Where two owners
+// hear of each other, as when a cut has healed, the one with fewer workers lets
+// go; entries follow their owner's word meanwhile.
 //
 //===----------------------------------------------------------------------===//
 
@@ -28,15 +29,15 @@
 namespace geraniumbay::jobs {
 
 /// How often entries ping each other.
-constexpr Duration PingInterval = std::chrono::milliseconds(150);
+constexpr Duration PingInterval = std::chrono::milliseconds(100);
 /// An entry that has not answered for so long counts as dead.
-constexpr Duration DeadAfter = std::chrono::milliseconds(900);
+constexpr Duration DeadAfter = std::chrono::milliseconds(600);
 /// An owner stops the jobs of an entry that has not confirmed for so long that
 /// it hears this owner. Below DeadAfter by two pings and the time of a stop.
-constexpr Duration OwnerSilence = std::chrono::milliseconds(500);
-/// An entry that was fenced without knowing by whom waits so long before it
-/// claims the pool again.
-constexpr Duration FencedPause = std::chrono::milliseconds(400);
+constexpr Duration OwnerSilence = std::chrono::milliseconds(300);
+/// An owner that was fenced and hears less than half of the entries lets the
+/// others go on, and makes no claim for so long.
+constexpr Duration FencedPause = std::chrono::seconds(3);
 /// How many entries in front of the ranks are pinged beside the owner: those
 /// that may become the owner when others fail with it.
 constexpr std::size_t PingedRanks = 3;
@@ -54,6 +55,8 @@
 struct PeerHealth {
   /// When the request was sent that it answered last.
   std::optional<Time> Answered;
+  /// When it last sent something.
+  std::optional<Time> Heard;
   /// It has refused a connection since: its process is gone, or something
   /// between refuses in its name.
   bool Refused = false;
@@ -77,6 +80,9 @@
   std::optional<Time> PeersSince;
   std::map<Endpoint, PeerHealth> Peers;
   OwnerClaim Owner;
+  /// Another claim that was heard of while the owner was alive. Owners settle
+  /// it between themselves.
+  OwnerClaim Rival;
   /// The owner before; only of an entry that has claimed the pool.
   OwnerClaim Earlier;
   /// The highest claim that was heard of; lower ones are of the past.
@@ -99,9 +105,12 @@
 void noteRefused(PoolView &View, const Endpoint &Peer);
 /// Notes that the peer says that it is stopping.
 void noteStopping(PoolView &View, const Endpoint &Peer);
+/// Notes that \p Peer has sent something.
+void noteHeard(PoolView &View, const Endpoint &Peer, Time Now);
 /// Notes a claim that \p Speaker passed on. Returns whether the owner changed; a
-/// new owner counts as alive for now. The last claim itself comes back into
-/// force by its owner's own word only: others may not know that it let go.
+/// new owner counts as alive for now. While the owner is alive only its own
+/// word changes it. The last claim itself comes back into force by its owner's
+/// own word only: others may not know that it let go.
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
                Time Now);
 /// Notes what \p Peer itself takes for the owner: if it is believed to be the
@@ -110,11 +119,19 @@
 /// Notes that claims must be above \p Token, as another entry has found.
 void noteHighest(PoolView &View, FencingToken Token);
 /// Notes that a worker refused this owner's order: somebody else has claimed
-/// the workers, or had in a past that nobody remembers.
+/// the workers, or had in a past that nobody remembers. The owner goes on with
+/// a higher token if it hears more than half of the entries, and else lets go.
 /// \p Token is what the order carried; nothing happens if another claim is in
 /// force by now.
 void noteFenced(PoolView &View, FencingToken Token, Time Now);
 
+/// Two owners have met: \p Other is the claim of the one that speaks. \p Own and
+/// \p Others count their workers. The larger one takes a token above the
+/// other's, if it has none; the smaller one follows the other once it has.
+/// Returns whether this entry's claim changed.
+bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
+               std::uint64_t Others, Time Now, WallMillis Wall);
+
 /// How the owner before this entry's claim was lost.
 OwnerLoss earlierOwnerLoss(const PoolView &View);
 
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -8,6 +8,8 @@
 
 #include "framework/log/log.h"
 
+#include <algorithm>
+
 namespace geraniumbay::jobs {
 
 namespace {
@@ -17,6 +19,9 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 /// How long a job that has ended can be asked for.
 constexpr Duration KeepSettled = std::chrono::seconds(180);
+/// How long what another owner left, which has just met this one, is kept: the
+/// time in which it lets go and its entries hand their jobs in here.
+constexpr Duration KeepMerged = std::chrono::milliseconds(500);
 /// Jobs forgotten in one batch.
 constexpr std::size_t MaxForgotten = 200;
 
@@ -76,6 +81,18 @@
   return Found ? Found : findTask(Needs_.Store, Id);
 }
 
+void Scheduler::raiseToken(FencingToken Token) {
+  Token_ = Token;
+  OrphansUntil_ = Needs_.Clock.now() + KeepMerged;
+}
+
+std::size_t Scheduler::workers() const {
+  return static_cast<std::size_t>(std::count_if(
+      Sessions_.begin(), Sessions_.end(), [](const auto &Entry) {
+        return Entry.second.Known && !Entry.second.Silent;
+      }));
+}
+
 void Scheduler::accept(Job New, Callback Done) {
   New.AcceptedIn = Token_;
   JobChanges Changes;
@@ -120,7 +137,7 @@
 
 bool Scheduler::mayHaveEarlierRun(const Job &Of) const {
   if (Of.Spec.Transient)
-    return !TakenOver_ || Unsettled_.count(Of.Id) != 0;
+    return Unsettled_.count(Of.Id) != 0;
   return !TakenOver_ && Of.AcceptedIn != Token_;
 }
 
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -42,6 +42,15 @@
   Metrics &Measured;
 };
 
+/// Somebody who waits for a transient job: a request of an entry.
+struct WaiterId {
+  Endpoint Origin;
+  /// Counts the entry's requests.
+  std::uint64_t Serial = 0;
+
+  bool operator==(const WaiterId &) const = default;
+};
+
 /// The scheduler of one token.
 class Scheduler {
 public:
@@ -57,17 +66,25 @@
   Scheduler &operator=(const Scheduler &) = delete;
 
   FencingToken token() const { return Token_; }
+  /// Goes on with a higher token, under which workers of another owner come
+  /// to this one. What runs there is kept for a while.
+  void raiseToken(FencingToken Token);
+  /// How many workers answer.
+  std::size_t workers() const;
 
   /// Accepts \p New durably and calls back. Unavailable: it certainly was not
   /// taken; Timeout: unknown.
   void accept(Job New, Callback Done);
   /// Runs the transient job \p New, or joins it if it runs or has just ended.
   /// It is given up if it has not begun after \p Patience.
-  /// \p Origin is the entry that waits for it. With \p MaybeTaken another owner
-  /// may have started tasks of it: none starts before all workers have been
-  /// looked at since now.
-  void run(Job New, Duration Patience, const Endpoint &Origin, bool MaybeTaken,
+  /// \p From is who waits for it. With \p MaybeTaken another owner may have
+  /// started tasks of it: none starts before all workers have been looked at
+  /// since now. A job that its caller sends again comes too late for that: by
+  /// then the leases of earlier runs are over.
+  void run(Job New, Duration Patience, const WaiterId &From, bool MaybeTaken,
            EndCallback Ended);
+  /// Drops one who waits.
+  void dropWaiter(const JobId &Id, const WaiterId &From);
   /// Drops what \p Origin waits for; a job that nobody waits for is stopped.
   void dropOrigin(const Endpoint &Origin);
   /// The entries that wait for jobs.
@@ -141,7 +158,7 @@
   WorkerSession *session(const WorkerId &Worker);
 
   const SchedulerNeeds Needs_;
-  const FencingToken Token_;
+  FencingToken Token_;
   const LeaseSettings Lease_;
   /// Callbacks look here before they touch a scheduler that may be gone.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
@@ -170,7 +187,7 @@
   /// Jobs that only this leader knows.
   JobStore Transient_;
   struct Waiter {
-    Endpoint Origin;
+    WaiterId From;
     EndCallback Ended;
   };
   struct Waiters {
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "framework/log/log.h"
+#include "jobs/internal/poolview.h"
 #include "jobs/internal/scheduler.h"
 
 namespace geraniumbay::jobs {
@@ -21,12 +22,12 @@
 
 } // namespace
 
-void Scheduler::run(Job New, Duration Patience, const Endpoint &Origin,
+void Scheduler::run(Job New, Duration Patience, const WaiterId &From,
                     bool MaybeTaken, EndCallback Ended) {
   JobId Id = New.Id;
   if (const Job *Known = findJob(Transient_, Id)) {
     if (Known->State == JobState::Active) {
-      Waiters_[Id].Waiting.push_back({Origin, std::move(Ended)});
+      Waiters_[Id].Waiting.push_back({From, std::move(Ended)});
       return;
     }
     // One that was given up before it began may be handed in again.
@@ -39,9 +40,9 @@
   JobChanges Changes;
   Changes.Accepted.push_back(std::move(New));
   apply(Transient_, Changes);
-  Waiters_[Id] = {{{Origin, std::move(Ended)}}, Now + Patience};
+  Waiters_[Id] = {{{From, std::move(Ended)}}, Now + Patience};
   Orders_[Id] = ++LastOrder_;
-  if (MaybeTaken && TakenOver_) {
+  if (MaybeTaken) {
     Unsettled_[Id] = Now;
     lookAround();
   }
@@ -90,7 +91,7 @@
   std::vector<JobId> Settled;
   for (const auto &[Id, Since] : Unsettled_)
     if (Since < LeastLooked ||
-        Now - Since >= Lease_.EarlierOwner + leaseBound(Lease_))
+        Now - Since >= OwnerSilence + leaseBound(Lease_))
       Settled.push_back(Id);
   for (const JobId &Id : Settled) {
     Unsettled_.erase(Id);
@@ -138,15 +139,26 @@
   std::set<Endpoint> Result;
   for (const auto &[Id, Job] : Waiters_)
     for (const Waiter &Each : Job.Waiting)
-      Result.insert(Each.Origin);
+      Result.insert(Each.From.Origin);
   return Result;
 }
 
+void Scheduler::dropWaiter(const JobId &Id, const WaiterId &From) {
+  auto Found = Waiters_.find(Id);
+  if (Found == Waiters_.end())
+    return;
+  std::erase_if(Found->second.Waiting,
+                [&](const Waiter &Each) { return Each.From == From; });
+  if (Found->second.Waiting.empty())
+    cancelTransient(Id, "nobody waits for it");
+}
+
 void Scheduler::dropOrigin(const Endpoint &Origin) {
   std::vector<JobId> Empty;
   for (auto &[Id, Job] : Waiters_) {
-    std::erase_if(Job.Waiting,
-                  [&](const Waiter &Each) { return Each.Origin == Origin; });
+    std::erase_if(Job.Waiting, [&](const Waiter &Each) {
+      return Each.From.Origin == Origin;
+    });
     if (Job.Waiting.empty())
       Empty.push_back(Id);
   }
