Play entries against workers at random, and mend what that found

Cause, each found by a random play on a paused clock: a new owner renewed the leases of orphaned runs while an earlier owner behind a flapping cut counted on them to end; jobs went to another owner before the first had missed their entry; an order in flight under an older token fenced its own owner, which raised its token without end; of two owners that met, the smaller one with the higher token adopted the lower claim, and both raised their tokens forever. Change: orphans get no lease unless the earlier owner let go, a maybe-taken job waits until that owner has certainly dropped it, orders remember their token, the smaller owner waits for the larger one's higher token. Tests: jobs_tests (whole entries, leases, tokens, cuts); seeds that failed are kept. Not caught: a lease to workers with foreign tasks.

--- a/src/control/tests/rafttest.cpp
+++ b/src/control/tests/rafttest.cpp
@@ -16,8 +16,9 @@
 const GroupId Group(5);
 const Time Start{1h};
 
-/// A follower of term 3 whose log has entries of the terms 1 and 2.
-RaftState follower() {
+/// A follower of term 3 whose log has entries of the terms 1 and 2, and that
+/// started at \p Began: by default long enough ago that it may vote.
+RaftState follower(Time Began = Start - RaftSettings().ElectionTimeout) {
   RaftSettings Settings;
   Settings.ControlVms = {Self.Vm, Second.Vm, Third.Vm};
   HardState Hard;
@@ -26,7 +27,7 @@
   RaftLog Log;
   Log.Base.Members.Voters = {Self, Second, Third};
   Log.Entries = {{Term(1), Noop{}}, {Term(2), Noop{}}};
-  return startMember(Settings, Self, Hard, Log, 1, Start);
+  return startMember(Settings, Self, Hard, Log, 1, Began);
 }
 
 Actions receive(RaftState &State, const MemberId &From, std::uint64_t At,
@@ -46,6 +47,44 @@
       receive(State, Third, 5, VoteRequest{false, LogIndex(2), Term(2)})));
 }
 
+// It may have promised a leader to follow it right before it stopped, and the
+// leader counts on that for its lease.
+TEST(RaftTest, AMemberThatHasJustStartedGivesNoVote) {
+  RaftState State = follower(Start);
+  VoteRequest Good{false, LogIndex(2), Term(2)};
+  EXPECT_FALSE(granted(receive(State, Second, 4, Good, Start)));
+  Time Later = Start + State.Settings.ElectionTimeout;
+  EXPECT_TRUE(granted(receive(State, Second, 4, Good, Later)));
+}
+
+TEST(RaftTest, AHandOverMovesAFollowerThatHearsItsLeader) {
+  RaftState State = follower();
+  receive(State, Second, 3, AppendRequest{LogIndex(2), Term(2), {}, LogIndex(0)});
+  VoteRequest Usual{false, LogIndex(2), Term(2)};
+  VoteRequest HandedOver{false, LogIndex(2), Term(2), true};
+  EXPECT_FALSE(granted(receive(State, Third, 4, Usual)));
+  EXPECT_TRUE(granted(receive(State, Third, 4, HandedOver)));
+}
+
+TEST(RaftTest, ALeaseEndsWhenNoMajorityHasAnsweredLately) {
+  RaftState State = follower();
+  Time Elected = Start + 10s;
+  step(State, Tick{}, Elected);
+  receive(State, Second, 4, VoteResponse{true, true}, Elected);
+  receive(State, Second, 4, VoteResponse{false, true}, Elected);
+  ASSERT_EQ(State.Current, Role::Leader);
+  auto Answer = [&](Time Sent, Time Now) {
+    Message Back{Group, Second, Self, Term(4), 0,
+                 AppendResponse{true, lastIndex(State.Log)}, Sent};
+    step(State, Received{Back}, Now);
+  };
+  Duration Timeout = State.Settings.ElectionTimeout;
+  // The answer came late: the lease counts from when the request was sent.
+  Answer(Elected, Elected + Timeout / 2);
+  EXPECT_TRUE(holdsLease(State, Elected + Timeout / 2));
+  EXPECT_FALSE(holdsLease(State, Elected + Timeout));
+}
+
 TEST(RaftTest, ACandidateWithAShorterLogGetsNoVote) {
   RaftState State = follower();
   EXPECT_FALSE(granted(
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -26,6 +26,8 @@
   std::optional<OwnerClaim> SentTo;
   /// An owner may have started tasks of it.
   bool MaybeTaken = false;
+  /// Which one, last.
+  Endpoint TakenBy;
 };
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -167,6 +167,7 @@
   if (!Owned)
     return park(What);
   What->SentTo = View_.Owner;
+  What->TakenBy = View_.Owner.At;
   if (!Scheduler_ || !ownsPool(View_))
     return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
   Scheduler_->run(What->Wanted, What->GiveUp - Now, What->Own, What->MaybeTaken,
@@ -213,7 +214,7 @@
     return;
   bool Refused = !Result && Result.error().Code == ErrorCode::Refused;
   if (Refused)
-    noteRefused(View_, From);
+    noteRefused(View_, From, Needs_.Clock.now());
   if (!Result && !Refused)
     What->MaybeTaken = true;
   if (Result) {
@@ -241,12 +242,14 @@
     if (What->SentTo) {
       What->MaybeTaken = true;
       What->SearchUntil = Now + SearchTime;
+      park(What);
     }
+    bool Elsewhere = What->MaybeTaken && What->TakenBy != View_.Owner.At;
     if (Now >= std::min(What->SearchUntil, What->GiveUp))
       finish(What, What->MaybeTaken
                        ? outcome(JobOutcome::Unknown, "the owner was lost")
                        : notTaken("no owner of the workers was found"));
-    else
+    else if (!Elsewhere || Now >= givenUpBy(View_, What->TakenBy))
       dispatch(What);
   }
 }
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -49,6 +49,8 @@
     Control_.addControlVms(Found);
   }
   void prepareStop() override;
+  /// Whether this entry schedules.
+  bool ownsThePool() const { return Scheduler_ != nullptr; }
 
 private:
   using Reply = IRpcServer::Reply;
@@ -118,6 +120,8 @@
   const JobStore NoDurableJobs_;
   /// Of the owner.
   std::unique_ptr<Scheduler> Scheduler_;
+  /// The claim went up because another owner was met, which lets go.
+  bool MetOther_ = false;
 
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -166,7 +166,7 @@
   if (Scheduler_)
     return;
   SchedulerNeeds Needs{[this] { return Needs_.Log.holdsLease(); },
-                       [] {
+                       [](FencingToken /*Token*/) {
                          // A later leader; this one hears of it by the log.
                        },
                        &Needs_.Log,
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -136,14 +136,16 @@
             {"token", Token_.value()}});
   Needs_.Workers.start({On.Info.Worker, On.Info.At}, Order,
                        [this, Alive = Alive_, Worker = On.Info.Worker,
-                        Id = Task.Id, Number = Order.Run](StartAnswer Answer) {
+                        Order](const StartAnswer &Answer) {
                          if (*Alive)
-                           started(Worker, Id, Number, Answer);
+                           started(Worker, Order, Answer);
                        });
 }
 
-void Scheduler::started(const WorkerId &Worker, const TaskId &Task,
-                        RunNumber Number, const StartAnswer &Answer) {
+void Scheduler::started(const WorkerId &Worker, const StartOrder &Order,
+                        const StartAnswer &Answer) {
+  const TaskId &Task = Order.Task;
+  RunNumber Number = Order.Run;
   Needs_.Measured.count("geraniumbay_starts_total",
                         "Orders to start a task, by what came of them.",
                         {{"result", startResultName(Answer.Result)}});
@@ -153,7 +155,7 @@
   if (Answer.Result == StartResult::Gone)
     return dropWorker(Worker, "another incarnation answered");
   if (Answer.Result == StartResult::Fenced)
-    return Needs_.Fenced();
+    return Needs_.Fenced(Order.Token);
   auto Found = On->Runs.find(Task);
   if (Found == On->Runs.end() || Found->second.Number != Number)
     return;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -23,19 +23,12 @@
   return static_cast<std::uint64_t>(At.time_since_epoch().count());
 }
 
-/// How long a new owner keeps what the earlier one left.
-Duration keepOrphans(OwnerLoss Loss) {
-  switch (Loss) {
-  case OwnerLoss::LetGo:
-    return std::chrono::milliseconds(1000);
-  case OwnerLoss::Refused:
-    // It was noticed within a ping; an earlier owner that lives gives up its
-    // leases after a second, and the jobs of entries here after OwnerSilence.
-    return std::chrono::milliseconds(400);
-  case OwnerLoss::Silent:
-    break;
-  }
-  return Duration(0);
+/// How long a new owner leaves alone what runs of unknown jobs, for the entries
+/// to hand these in again. Behind an owner that was silent for long, little
+/// that runs is left; it is stopped at once.
+Duration keepOrphans(const OwnerLoss &Loss) {
+  constexpr Duration Keep = std::chrono::milliseconds(1000);
+  return Loss.LetGo || Loss.Refused ? Keep : Duration(0);
 }
 
 RetVal<OwnerClaim> readClaim(const Json::Value &From, const char *At,
@@ -67,7 +60,7 @@
                {{"token", Claim->Token.value()},
                 {"entries", View_.Ranked.size()},
                 {"earlier", View_.Earlier.At.text()},
-                {"loss", static_cast<int>(earlierOwnerLoss(View_))}});
+                {"let_go", earlierOwnerLoss(View_).LetGo}});
       pingEntries();
     }
   }
@@ -82,7 +75,8 @@
   if (Scheduler_ && Owns && Scheduler_->token() != View_.Owner.Token) {
     logEvent(LogLevel::Info, Module, "pool_token_raised",
              {{"token", View_.Owner.Token.value()}});
-    Scheduler_->raiseToken(View_.Owner.Token);
+    Scheduler_->raiseToken(View_.Owner.Token, MetOther_);
+    MetOther_ = false;
     pingEntries();
   }
   if (Scheduler_ && !Owns) {
@@ -95,9 +89,8 @@
   if (!Owns || Scheduler_)
     return;
   SchedulerNeeds Needs{[this] { return ownsPool(View_); },
-                       [this] {
-                         noteFenced(View_, Scheduler_->token(),
-                                    Needs_.Clock.now());
+                       [this](FencingToken Token) {
+                         noteFenced(View_, Token, Needs_.Clock.now());
                        },
                        nullptr,
                        NoDurableJobs_,
@@ -107,8 +100,9 @@
                        Needs_.Measured};
   LeaseSettings Lease = Lease_;
   OwnerLoss Loss = earlierOwnerLoss(View_);
-  Lease.EarlierOwner = Loss == OwnerLoss::LetGo ? Duration(0) : OwnerSilence;
+  Lease.EarlierOwner = Loss.LetGo ? Duration(0) : OwnerSilence;
   Lease.KeepOrphans = keepOrphans(Loss);
+  Lease.RenewOrphans = Loss.LetGo;
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
   Scheduler_->takeWorkers(Directory_);
@@ -148,6 +142,7 @@
   std::uint64_t Others = From["workers"].asUInt64();
   bool Changed = meetRival(View_, Word, Own, Others, Needs_.Clock.now(),
                            Needs_.Clock.wallNow());
+  MetOther_ = MetOther_ || Changed;
   if (Changed)
     logEvent(LogLevel::Info, Module, "pool_owners_met",
              {{"other", Speaker.text()},
@@ -208,7 +203,7 @@
     // listens there. A late one is a connection that never came about.
     bool AtOnce = Needs_.Clock.now() - Sent < PingTimeout;
     if (Result.error().Code == ErrorCode::Refused && AtOnce)
-      noteRefused(View_, To);
+      noteRefused(View_, To, Needs_.Clock.now());
     return;
   }
   noteAnswer(View_, To, flag(*Result, "stopping"), Sent);
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -53,7 +53,7 @@
   View.LastClaim = std::max(View.LastClaim, Claim.Token);
   View.Rival = OwnerClaim();
   if (Claim.At != View.Self)
-    View.Peers[Claim.At] = {Now, Now, false, false};
+    View.Peers[Claim.At] = {Now, Now, std::nullopt, false};
 }
 
 /// Whether more than half of the entries, this one included, were heard lately.
@@ -95,12 +95,14 @@
   if (Health.Answered && *Health.Answered > Sent)
     return;
   Health.Answered = Sent;
-  Health.Refused = false;
+  Health.Refused.reset();
   Health.Stopping = Stopping;
 }
 
-void noteRefused(PoolView &View, const Endpoint &Peer) {
-  View.Peers[Peer].Refused = true;
+void noteRefused(PoolView &View, const Endpoint &Peer, Time Now) {
+  PeerHealth &Health = View.Peers[Peer];
+  if (!Health.Refused)
+    Health.Refused = Now;
 }
 
 void noteStopping(PoolView &View, const Endpoint &Peer) {
@@ -125,6 +127,7 @@
   bool Bound = Owned && isAlive(View, View.Owner.At, Now);
   if (Bound && Speaker != View.Owner.At) {
     View.Rival = Claim;
+    View.RivalHeard = Now;
     return false;
   }
   bool OwnWord =
@@ -147,6 +150,8 @@
 void noteFenced(PoolView &View, FencingToken Token, Time Now) {
   if (View.Owner.Token != Token || View.Owner.At != View.Self)
     return;
+  if (View.RivalHeard && Now - *View.RivalHeard < RivalSettles)
+    return;
   View.Highest = FencingToken(View.Highest.value() +
                               FencedStepMillis * TokensPerMilli);
   if (hearsHalf(View, Now)) {
@@ -164,7 +169,9 @@
     return false;
   View.Rival = OwnerClaim();
   bool Larger = Own != Others ? Own > Others : View.Self < Other.At;
-  if (Larger == (View.Owner.Token > Other.Token))
+  bool Higher = View.Owner.Token > Other.Token;
+  // The smaller one waits until the other's token lets it take the workers.
+  if (Higher)
     return false;
   if (!Larger) {
     adopt(View, Other, Now);
@@ -175,13 +182,19 @@
   return true;
 }
 
+Time givenUpBy(const PoolView &View, const Endpoint &Owner) {
+  auto Found = View.Peers.find(Owner);
+  if (Found == View.Peers.end() || Found->second.Stopping ||
+      !Found->second.Answered)
+    return Time();
+  return *Found->second.Answered + OwnerSilence + StopMargin;
+}
+
 OwnerLoss earlierOwnerLoss(const PoolView &View) {
   auto Found = View.Peers.find(View.Earlier.At);
   if (Found == View.Peers.end())
-    return OwnerLoss::Silent;
-  if (Found->second.Stopping)
-    return OwnerLoss::LetGo;
-  return Found->second.Refused ? OwnerLoss::Refused : OwnerLoss::Silent;
+    return {};
+  return {Found->second.Stopping, Found->second.Refused};
 }
 
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now) {
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -38,6 +38,11 @@
 /// An owner that was fenced and hears less than half of the entries lets the
 /// others go on, and makes no claim for so long.
 constexpr Duration FencedPause = std::chrono::seconds(3);
+/// Owners that have heard of each other settle it by their words within so long;
+/// being fenced tells them nothing new meanwhile.
+constexpr Duration RivalSettles = std::chrono::milliseconds(500);
+/// The time that an owner takes from noticing to having stopped.
+constexpr Duration StopMargin = std::chrono::milliseconds(100);
 /// How many entries in front of the ranks are pinged beside the owner: those
 /// that may become the owner when others fail with it.
 constexpr std::size_t PingedRanks = 3;
@@ -57,18 +62,20 @@
   std::optional<Time> Answered;
   /// When it last sent something.
   std::optional<Time> Heard;
-  /// It has refused a connection since: its process is gone, or something
+  /// When it first refused a connection since: its process is gone, or something
   /// between refuses in its name.
-  bool Refused = false;
+  std::optional<Time> Refused;
   /// It says that it is stopping, and lets go of the pool.
   bool Stopping = false;
 };
 
 /// How the owner before was lost, as far as the next one knows.
-enum class OwnerLoss {
-  LetGo,   ///< It said so, or there was none.
-  Refused, ///< It refuses connections, or something does in its name.
-  Silent,  ///< It does not answer.
+struct OwnerLoss {
+  /// It has said that it lets go.
+  bool LetGo = false;
+  /// When it began to refuse connections, or something in its name; else it was
+  /// silent.
+  std::optional<Time> Refused;
 };
 
 struct PoolView {
@@ -83,6 +90,8 @@
   /// Another claim that was heard of while the owner was alive. Owners settle
   /// it between themselves.
   OwnerClaim Rival;
+  /// When it was last heard of.
+  std::optional<Time> RivalHeard;
   /// The owner before; only of an entry that has claimed the pool.
   OwnerClaim Earlier;
   /// The highest claim that was heard of; lower ones are of the past.
@@ -102,7 +111,7 @@
 /// Notes an answer to a ping that was sent at \p Sent.
 void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping, Time Sent);
 /// Notes that a connection to the peer was refused.
-void noteRefused(PoolView &View, const Endpoint &Peer);
+void noteRefused(PoolView &View, const Endpoint &Peer, Time Now);
 /// Notes that the peer says that it is stopping.
 void noteStopping(PoolView &View, const Endpoint &Peer);
 /// Notes that \p Peer has sent something.
@@ -132,6 +141,9 @@
 bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
                std::uint64_t Others, Time Now, WallMillis Wall);
 
+/// From when on a job that \p Owner may have taken can go to another one: by
+/// then the owner has let go, or has missed this entry and stopped the job.
+Time givenUpBy(const PoolView &View, const Endpoint &Owner);
 /// How the owner before this entry's claim was lost.
 OwnerLoss earlierOwnerLoss(const PoolView &View);
 
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -81,9 +81,10 @@
   return Found ? Found : findTask(Needs_.Store, Id);
 }
 
-void Scheduler::raiseToken(FencingToken Token) {
+void Scheduler::raiseToken(FencingToken Token, bool OtherLetsGo) {
   Token_ = Token;
-  OrphansUntil_ = Needs_.Clock.now() + KeepMerged;
+  if (OtherLetsGo)
+    OrphansUntil_ = Needs_.Clock.now() + KeepMerged;
 }
 
 std::size_t Scheduler::workers() const {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -30,8 +30,8 @@
   /// Whether this process owns the pool at this moment: asked right before
   /// orders are given.
   std::function<bool()> MayOrder;
-  /// Called when a worker obeys a later owner.
-  std::function<void()> Fenced;
+  /// Called when a worker refuses an order with this token: it obeys another.
+  std::function<void(FencingToken)> Fenced;
   /// The log of durable jobs; null where only transient jobs are scheduled.
   control::IReplicatedLog *Log;
   /// The durable jobs; empty where there is no log.
@@ -66,9 +66,10 @@
   Scheduler &operator=(const Scheduler &) = delete;
 
   FencingToken token() const { return Token_; }
-  /// Goes on with a higher token, under which workers of another owner come
-  /// to this one. What runs there is kept for a while.
-  void raiseToken(FencingToken Token);
+  /// Goes on with a higher token. With \p OtherLetsGo the workers of another
+  /// owner, which lets go, come to this one, and what runs there is kept for a
+  /// while.
+  void raiseToken(FencingToken Token, bool OtherLetsGo);
   /// How many workers answer.
   std::size_t workers() const;
 
@@ -134,7 +135,12 @@
   void schedule();
   WorkerSession *bestWorker(const WaitingTask &Task, Time Now);
   void start(WorkerSession &On, const WaitingTask &Task);
-  void started(const WorkerId &Worker, const TaskId &Task, RunNumber Number,
+  /// What is sent with an order, to be compared when its answer comes.
+  struct Sent {
+    Time At;
+    FencingToken Token;
+  };
+  void started(const WorkerId &Worker, const StartOrder &Order,
                const StartAnswer &Answer);
   RunNumber nextRun(const Job &Of, const TaskId &Task);
 
@@ -142,11 +148,12 @@
   void hold(WorkerSession &With);
   /// Asks what runs there, beside the hold that may be under way.
   void look(WorkerSession &With);
-  void held(const WorkerId &Worker, Time Sent,
+  void held(const WorkerId &Worker, const Sent &Order,
             const Outcome<HoldAnswer> &Answer);
   void takeAnswer(WorkerSession &On, Time Sent, const HoldAnswer &Answer);
-  void takeFindings(WorkerSession &On, const HoldFindings &Found);
-  void found(WorkerSession &On, const RunningTask &Task);
+  void takeFindings(WorkerSession &On, const HoldFindings &Found, bool Fresh);
+  /// \p Fresh: this owner did not have the worker until now.
+  void found(WorkerSession &On, const RunningTask &Task, bool Fresh);
   void adopt(WorkerSession &On, const RunningTask &Task);
   void recordEnds(WorkerSession &On, const std::vector<EndedTask> &Ended);
   void recordDurably(const WorkerId &Worker, std::uint64_t Upto,
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -81,10 +81,11 @@
   /// An earlier owner that is cut off gives no lease after this time: by then
   /// it has noticed (see OwnerSilence in poolview.h).
   Duration EarlierOwner{0};
-  /// How long what the earlier owner left is kept alive for the entries to hand
-  /// its jobs in again. An owner that has not let go counts on its leases to
-  /// end, so this must be over before.
+  /// How long what the earlier owner left is not stopped, for the entries to hand
+  /// its jobs in again.
   Duration KeepOrphans{0};
+  /// The earlier owner has let go, so that their lease may be renewed too.
+  bool RenewOrphans = false;
   /// How long a worker waits for an end before it answers a hold.
   Duration HoldWait = std::chrono::milliseconds(400);
   /// An answer that is this late is given up.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -69,9 +69,10 @@
   With.HoldUnderWay = true;
   Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
                       [this, Alive = Alive_, Worker = With.Info.Worker,
-                       Sent = Now](const Outcome<HoldAnswer> &Answer) {
+                       When = Sent{Now, Token_}](
+                          const Outcome<HoldAnswer> &Answer) {
                         if (*Alive)
-                          held(Worker, Sent, Answer);
+                          held(Worker, When, Answer);
                       });
 }
 
@@ -95,7 +96,7 @@
                            const HoldAnswer &Answer) {
   On.LookedAt = std::max(On.LookedAt, Sent);
   HoldFindings Findings = takeHold(On, Answer, Needs_.Clock.now());
-  takeFindings(On, Findings);
+  takeFindings(On, Findings, !On.Known || On.Silent);
   On.Known = true;
   if (On.Silent)
     logEvent(LogLevel::Info, Module, "worker_answers",
@@ -103,13 +104,14 @@
   On.Silent = false;
   On.Foreign = std::any_of(Findings.Found.begin(), Findings.Found.end(),
                            [&](const RunningTask &Each) {
-                             return On.Runs.count(Each.Task) == 0 &&
-                                    Orphans_.count(Each.Task) == 0;
+                             bool Renewed = Lease_.RenewOrphans &&
+                                            Orphans_.count(Each.Task) != 0;
+                             return On.Runs.count(Each.Task) == 0 && !Renewed;
                            });
   takeOverIfAllKnown();
 }
 
-void Scheduler::held(const WorkerId &Worker, Time Sent,
+void Scheduler::held(const WorkerId &Worker, const Sent &Order,
                      const Outcome<HoldAnswer> &Answer) {
   WorkerSession *With = session(Worker);
   if (!With)
@@ -118,7 +120,7 @@
   if (!Answer && Answer.error().Code == ErrorCode::NotFound)
     return dropWorker(Worker, "another incarnation answered");
   if (!Answer && Answer.error().Code == ErrorCode::Conflict)
-    return Needs_.Fenced();
+    return Needs_.Fenced(Order.Token);
   if (!Answer) {
     if (!With->Silent)
       logEvent(LogLevel::Warning, Module, "worker_silent",
@@ -133,7 +135,7 @@
     });
     return;
   }
-  takeAnswer(*With, Sent, *Answer);
+  takeAnswer(*With, Order.At, *Answer);
   // With ends to record the next hold waits for the log, since the worker
   // would answer it at once with the same ends.
   // Without a lease the worker answers at once: the tick asks again.
@@ -142,7 +144,8 @@
   scheduleSoon();
 }
 
-void Scheduler::takeFindings(WorkerSession &On, const HoldFindings &Findings) {
+void Scheduler::takeFindings(WorkerSession &On, const HoldFindings &Findings,
+                             bool Fresh) {
   for (const EndedTask &End : Findings.Ended) {
     auto Left = Orphans_.find(End.Task);
     bool Unknown = !TakenOver_ && !jobOf(End.Task.Job);
@@ -170,7 +173,7 @@
     enqueue(Task);
   }
   for (const RunningTask &Task : Findings.Found)
-    found(On, Task);
+    found(On, Task, Fresh);
   // A stop may have been lost on its way.
   for (const auto &[Task, Each] : On.Runs)
     if (Each.Stopping)
@@ -180,13 +183,14 @@
     recordEnds(On, Findings.Ended);
 }
 
-void Scheduler::found(WorkerSession &On, const RunningTask &Task) {
+void Scheduler::found(WorkerSession &On, const RunningTask &Task, bool Fresh) {
   const Job *Of = jobOf(Task.Task.Job);
   const TaskRecord *Record = taskOf(Task.Task);
   if (Record && !Record->Done && Places_.count(Task.Task) == 0)
     return adopt(On, Task);
   // The entry that waits for an unknown job hands it in again.
-  if (!Of && Needs_.Clock.now() < OrphansUntil_) {
+  bool Kept = Fresh || Orphans_.count(Task.Task) != 0;
+  if (!Of && Kept && Needs_.Clock.now() < OrphansUntil_) {
     Orphans_[Task.Task] = {On.Info.Worker, Task.Run, false};
     return;
   }
--- /dev/null
+++ b/src/jobs/tests/entryfake.cpp
@@ -0,0 +1,177 @@
+//===- entryfake.cpp - Entries and a control VM on a fake net -------------===//
+
+#include "jobs/tests/entryfake.h"
+
+#include "jobs/internal/jobmessages.h"
+
+namespace geraniumbay::jobs {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Way = 1ms;
+
+Routing oneQueue() {
+  Routing Result;
+  Result.Version = DocumentVersion(1);
+  Queue Only;
+  Only.Name = QueueName("queue");
+  Only.Place = {"host", "/q/"};
+  Only.Service = ServiceId("service");
+  Only.MaxFailures = 3;
+  Result.Queues.push_back(Only);
+  return Result;
+}
+
+} // namespace
+
+void FakePeerNet::call(const Endpoint &From, const Endpoint &To,
+                       const std::string &Method, const Json::Value &Params,
+                       Duration Timeout, IRpcClient::Callback Done) {
+  auto Open = std::make_shared<IRpcClient::Callback>(std::move(Done));
+  auto Finish = [Open](const Outcome<Json::Value> &Result) {
+    if (*Open)
+      std::exchange(*Open, nullptr)(Result);
+  };
+  Timers_.after(Timeout, [Finish] {
+    Finish(Error{ErrorCode::Timeout, "no answer"});
+  });
+  Timers_.after(Way, [this, From, To, Method, Params, Finish] {
+    if (Faults_.isCut(From.Address, To.Address)) {
+      if (CutsRefuse)
+        Finish(Error{ErrorCode::Refused, "refused by something between"});
+      return;
+    }
+    auto Server = Servers.find(To);
+    if (Server == Servers.end())
+      return Finish(Error{ErrorCode::Refused, "nothing listens"});
+    Server->second.at(Method)(
+        Params, [this, From, To, Finish](const Outcome<Json::Value> &Result) {
+          if (!Faults_.isCut(From.Address, To.Address))
+            Timers_.after(Way, [Finish, Result] { Finish(Result); });
+        });
+  });
+}
+
+EntryFake::EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed) {
+  Workers.Rng = Random(Seed);
+  HostsElsewhere_.insert(Control_.Address);
+  for (int DataCentre = 1; DataCentre <= 2; ++DataCentre) {
+    auto &Hosts = DataCentre == 1 ? HostsOfA_ : HostsElsewhere_;
+    std::string Part = std::to_string(DataCentre) + ".";
+    for (int I = 1; I <= WorkersEach; ++I) {
+      std::string Host = "10.1." + Part + std::to_string(I);
+      Announced_.push_back(
+          Workers.add(Host, DataCentre == 1 ? "a" : "b", 2000));
+      Hosts.insert(Host);
+    }
+    for (int I = 1; I <= EntriesEach; ++I) {
+      Entries.emplace_back().At = {"10.0." + Part + std::to_string(I), 7000};
+      Hosts.insert(Entries.back().At.Address);
+    }
+  }
+  offerControl();
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    start(I);
+}
+
+void EntryFake::offerControl() {
+  ControlRpc_ = std::make_unique<FakePeerRpc>(Net, Control_);
+  ControlRpc_->method(wire::method::Sync, [this](const Json::Value &Params,
+                                                 IRpcServer::Reply Answer) {
+    if (ControlAway)
+      return;
+    Json::Value Result(Json::objectValue);
+    Result["leader"] = "";
+    Result["ready"] = true;
+    Result["schedules"] = false;
+    Result["configuration"] = 1;
+    Result["document"] = "document";
+    for (const FakeEntry &Each : Entries)
+      Result["entries"].append(Each.At.text());
+    if (Params["workers_change"].asUInt64() == 0) {
+      Result["workers_of"] = 1;
+      Result["workers_change"] = 1;
+      Result["workers"] = Json::Value(Json::arrayValue);
+      for (const WorkerInfo &Info : Announced_)
+        Result["workers"].append(write(Info));
+    }
+    Answer(Result);
+  });
+}
+
+void EntryFake::start(std::size_t Entry) {
+  FakeEntry &New = Entries[Entry];
+  New.Rpc = std::make_unique<FakePeerRpc>(Net, New.At);
+  New.Workers = std::make_unique<FakeWorkerCalls>(Workers, New.At.Address);
+  EntryNeeds Needs{*New.Workers, Clock,    Timers,
+                   Measured,     *New.Rpc, *New.Rpc};
+  New.Jobs = std::make_unique<EntryJobs>(
+      Needs, New.At, std::vector<Endpoint>{Control_},
+      [](const std::string &) -> RetVal<Routing> { return oneQueue(); },
+      LeaseSettings());
+  New.Jobs->start();
+}
+
+void EntryFake::run(Duration For) {
+  for (Time End = Clock.now() + For; Clock.now() < End;) {
+    Clock.advance(1ms);
+    while (Timers.runDue() != 0) {
+      // What a callback makes due at once runs in this millisecond too.
+    }
+  }
+}
+
+std::vector<std::size_t> EntryFake::owners() const {
+  std::vector<std::size_t> Result;
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    if (Entries[I].Jobs && Entries[I].Jobs->ownsThePool())
+      Result.push_back(I);
+  return Result;
+}
+
+void EntryFake::settle() {
+  for (int I = 0; I < 100 && owners().size() != 1; ++I)
+    run(50ms);
+  run(500ms);
+}
+
+std::shared_ptr<Submitted> EntryFake::submit(std::size_t Entry,
+                                             const std::string &Job,
+                                             std::uint32_t Tasks) {
+  JobSpec Spec;
+  Spec.Transient = true;
+  Spec.Payload = "payload";
+  StepSpec Step;
+  Step.Count = Tasks;
+  Step.Needs.CpuMillis = 1000;
+  Spec.Steps.push_back(Step);
+  auto Result = std::make_shared<Submitted>();
+  Result->Abandon = Entries[Entry].Jobs->submit(
+      {"host", "/q/" + Job, 3s}, Spec,
+      [Result](const JobAnswer &Answer) { Result->Answer = Answer; });
+  return Result;
+}
+
+void EntryFake::crash(std::size_t Entry) {
+  FakeEntry &Gone = Entries[Entry];
+  Net.Servers.erase(Gone.At);
+  Gone.Rpc->Dead = true;
+  Gone.Workers->Dead = true;
+  Endpoint At = Gone.At;
+  Ended_.push_back(std::move(Gone));
+  Entries[Entry] = FakeEntry();
+  Entries[Entry].At = At;
+}
+
+void EntryFake::cutDataCentre(bool Refuses) {
+  Net.CutsRefuse = Refuses;
+  for (const std::string &Here : HostsOfA_)
+    for (const std::string &There : HostsElsewhere_)
+      Faults.Cut.insert({Here, There});
+}
+
+void EntryFake::join() { Faults.Cut.clear(); }
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/tests/entryfake.h
@@ -0,0 +1,116 @@
+//===- entryfake.h - Entries and a control VM on a fake net -----*- C++ -*-===//
+//
+// Whole entries on a paused clock, with a control VM that tells them of each
+// other and of the workers, and a net that can be cut, silently or with resets.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_TESTS_ENTRYFAKE_H
+#define GERANIUMBAY_JOBS_TESTS_ENTRYFAKE_H
+
+#include "framework/clock/manualclock.h"
+#include "framework/clock/timerqueue.h"
+#include "jobs/internal/entryjobs.h"
+#include "jobs/tests/fakeworkers.h"
+
+namespace geraniumbay::jobs {
+
+/// Calls between processes, a millisecond each way.
+class FakePeerNet {
+public:
+  explicit FakePeerNet(ITimers &Timers, WorkerFaults &Faults)
+      : Timers_(Timers), Faults_(Faults) {}
+
+  void call(const Endpoint &From, const Endpoint &To, const std::string &Method,
+            const Json::Value &Params, Duration Timeout,
+            IRpcClient::Callback Done);
+
+  std::map<Endpoint, std::map<std::string, IRpcServer::Method>> Servers;
+  /// A cut refuses connections in the name of the other side.
+  bool CutsRefuse = false;
+
+private:
+  ITimers &Timers_;
+  WorkerFaults &Faults_;
+};
+
+class FakePeerRpc : public IRpcServer, public IRpcClient {
+public:
+  FakePeerRpc(FakePeerNet &Net, Endpoint Self)
+      : Net_(Net), Self_(std::move(Self)) {}
+
+  void method(const std::string &Name, Method Handle) override {
+    Net_.Servers[Self_][Name] = std::move(Handle);
+  }
+  void call(const Endpoint &To, const std::string &Method, Json::Value Params,
+            Duration Timeout, Callback Done) override {
+    if (Dead)
+      return;
+    Net_.call(Self_, To, Method, Params, Timeout, std::move(Done));
+  }
+
+  /// The process has ended: what is left of it sends nothing.
+  bool Dead = false;
+
+private:
+  FakePeerNet &Net_;
+  Endpoint Self_;
+};
+
+/// One entry.
+struct FakeEntry {
+  Endpoint At;
+  std::unique_ptr<FakePeerRpc> Rpc;
+  std::unique_ptr<FakeWorkerCalls> Workers;
+  std::unique_ptr<EntryJobs> Jobs;
+};
+
+/// What became of a submitted job.
+struct Submitted {
+  std::optional<JobAnswer> Answer;
+  std::function<void()> Abandon;
+};
+
+/// Two data centres "a" and "b" with entries 10.0.1.x and 10.0.2.x and workers
+/// 10.1.1.x and 10.1.2.x, and one control VM 10.0.9.1.
+class EntryFake {
+public:
+  EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed = 1);
+
+  void run(Duration For);
+  /// Runs until one entry owns the pool and all others follow it.
+  void settle();
+  std::shared_ptr<Submitted> submit(std::size_t Entry, const std::string &Job,
+                                    std::uint32_t Tasks = 2);
+  /// Ends the process; start() brings it back without what it knew.
+  void crash(std::size_t Entry);
+  void start(std::size_t Entry);
+  /// Cuts data centre "a" from "b" and from the control VM, or joins them.
+  void cutDataCentre(bool Refuses);
+  void join();
+  std::vector<std::size_t> owners() const;
+
+  ManualClock Clock;
+  TimerQueue Timers{Clock};
+  WorkerFaults Faults;
+  FakeWorkers Workers{Clock, Timers, Faults};
+  FakePeerNet Net{Timers, Faults};
+  Metrics Measured;
+  std::vector<FakeEntry> Entries;
+  bool ControlAway = false;
+
+private:
+  void offerControl();
+
+  /// Ended processes, whose timers still refer to them.
+  std::vector<FakeEntry> Ended_;
+  Endpoint Control_{"10.0.9.1", 7000};
+  std::unique_ptr<FakePeerRpc> ControlRpc_;
+  std::vector<WorkerInfo> Announced_;
+  std::set<std::string> HostsOfA_;
+  std::set<std::string> HostsElsewhere_;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_TESTS_ENTRYFAKE_H
--- /dev/null
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -0,0 +1,230 @@
+//===- entryjobstest.cpp - Entries that lose each other -------------------===//
+//
+// Whole entries with workers that keep leases and tokens: who owns the pool,
+// and that no task ever has two runs at a time, whatever is cut, when, and how.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/tests/entryfake.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace geraniumbay::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+bool served(const std::shared_ptr<Submitted> &Job) {
+  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
+         Job->Answer->State == JobState::Completed;
+}
+
+TEST(EntryJobsTest, OneEntryOwnsThePoolAndAllServe) {
+  EntryFake Fake(2, 3);
+  Fake.settle();
+  ASSERT_EQ(Fake.owners().size(), 1U);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 0; I < Fake.Entries.size(); ++I) {
+    EXPECT_TRUE(Fake.Entries[I].Jobs->ready());
+    Jobs.push_back(Fake.submit(I, "job" + std::to_string(I)));
+  }
+  Fake.run(1s);
+  for (const auto &Job : Jobs)
+    EXPECT_TRUE(served(Job));
+  EXPECT_EQ(Fake.Workers.Starts, 8U);
+}
+
+TEST(EntryJobsTest, AJobSentAgainElsewhereJoinsTheOneThatRuns) {
+  EntryFake Fake(2, 3);
+  Fake.settle();
+  auto First = Fake.submit(0, "job");
+  Fake.run(50ms);
+  auto Again = Fake.submit(3, "job");
+  Fake.run(1s);
+  EXPECT_TRUE(served(First));
+  EXPECT_TRUE(served(Again));
+  EXPECT_EQ(Fake.Workers.Starts, 2U);
+}
+
+TEST(EntryJobsTest, AnUnknownQueueIsNoQueue) {
+  EntryFake Fake(1, 1);
+  Fake.settle();
+  std::optional<JobAnswer> Answer;
+  JobSpec Spec;
+  Spec.Transient = true;
+  Spec.Steps.emplace_back();
+  Fake.Entries[0].Jobs->submit(
+      {"host", "/other/job", 1s}, Spec,
+      [&](const JobAnswer &Given) { Answer = Given; });
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->Outcome, JobOutcome::NoQueue);
+}
+
+TEST(EntryJobsTest, AGoneCallersJobIsStopped) {
+  EntryFake Fake(1, 2);
+  Fake.Workers.TaskTime = 10s;
+  Fake.settle();
+  auto Job = Fake.submit(1 - Fake.owners().at(0), "job");
+  Fake.run(100ms);
+  ASSERT_EQ(Fake.Workers.running(), 2U);
+  Job->Abandon();
+  Fake.run(100ms);
+  EXPECT_EQ(Fake.Workers.running(), 0U);
+  EXPECT_FALSE(Job->Answer);
+}
+
+TEST(EntryJobsTest, WithoutControlVmsServiceGoesOn) {
+  EntryFake Fake(2, 3);
+  Fake.settle();
+  Fake.ControlAway = true;
+  Fake.run(20s);
+  auto Job = Fake.submit(0, "job");
+  Fake.run(1s);
+  EXPECT_TRUE(served(Job));
+}
+
+TEST(EntryJobsTest, WhatRunsIsKeptWhenTheOwnerStops) {
+  EntryFake Fake(2, 3);
+  Fake.Workers.TaskTime = 800ms;
+  Fake.settle();
+  std::size_t Owner = Fake.owners().at(0);
+  auto Job = Fake.submit((Owner + 1) % 4, "job");
+  Fake.run(300ms);
+  Fake.Entries[Owner].Jobs->prepareStop();
+  Fake.run(1s);
+  EXPECT_TRUE(served(Job));
+  EXPECT_EQ(Fake.Workers.Starts, 2U);
+  ASSERT_EQ(Fake.owners().size(), 1U);
+  EXPECT_NE(Fake.owners().at(0), Owner);
+}
+
+TEST(EntryJobsTest, AnOwnerThatDiesIsReplacedWithinASecond) {
+  EntryFake Fake(2, 3);
+  Fake.settle();
+  std::size_t Owner = Fake.owners().at(0);
+  Fake.crash(Owner);
+  Fake.run(1s);
+  auto Job = Fake.submit((Owner + 1) % 4, "job");
+  Fake.run(500ms);
+  EXPECT_TRUE(served(Job));
+}
+
+// An entry that knows no other yet must not take the workers from their owner.
+TEST(EntryJobsTest, ARestartedEntryFollowsTheOwner) {
+  EntryFake Fake(2, 2);
+  Fake.settle();
+  std::size_t Owner = Fake.owners().at(0);
+  std::size_t Other = (Owner + 1) % 4;
+  Fake.ControlAway = true;
+  Fake.crash(Other);
+  Fake.start(Other);
+  Fake.run(2s);
+  EXPECT_EQ(Fake.owners(), std::vector<std::size_t>{Owner});
+  Fake.ControlAway = false;
+  Fake.run(2s);
+  EXPECT_EQ(Fake.owners(), std::vector<std::size_t>{Owner});
+  EXPECT_TRUE(Fake.Entries[Other].Jobs->ready());
+}
+
+TEST(EntryJobsTest, ACutOffDataCentreGoesOnAndTheLargerSideStays) {
+  EntryFake Fake(2, 2);
+  Fake.settle();
+  Fake.cutDataCentre(false);
+  Fake.run(2s);
+  EXPECT_EQ(Fake.owners().size(), 2U);
+  auto InA = Fake.submit(0, "a");
+  auto InB = Fake.submit(2, "b");
+  Fake.run(1s);
+  EXPECT_TRUE(served(InA));
+  EXPECT_TRUE(served(InB));
+  Fake.join();
+  Fake.run(2s);
+  EXPECT_EQ(Fake.owners().size(), 1U);
+  auto After = Fake.submit(0, "after");
+  Fake.run(1s);
+  EXPECT_TRUE(served(After));
+}
+
+struct Cut {
+  bool Refuses;
+  int Long;
+};
+
+class CutTest : public testing::TestWithParam<Cut> {};
+
+// Long tasks are out on both sides when the cut comes; each side counts on
+// leases to end, and finds what the other has started.
+TEST_P(CutTest, NoTaskRunsTwiceAtATime) {
+  for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+    EntryFake Fake(2, 4, Seed);
+    Fake.Workers.TaskTime = 1500ms;
+    Fake.settle();
+    for (int I = 0; I < 4; ++I)
+      Fake.submit(I, "before" + std::to_string(I));
+    Fake.run(100ms + Duration(Seed * 70'000));
+    Fake.cutDataCentre(GetParam().Refuses);
+    for (int Step = 0; Step < GetParam().Long; ++Step) {
+      for (int I = 0; I < 4; ++I)
+        Fake.submit(I, "during" + std::to_string(Step * 4 + I), 1);
+      Fake.run(200ms);
+    }
+    Fake.join();
+    for (int I = 0; I < 4; ++I)
+      Fake.submit(I, "after" + std::to_string(I), 1);
+    Fake.run(4s);
+    EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
+    EXPECT_EQ(Fake.owners().size(), 1U) << "seed " << Seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, CutTest,
+                         testing::Values(Cut{false, 3}, Cut{false, 10},
+                                         Cut{false, 25}, Cut{true, 3},
+                                         Cut{true, 10}, Cut{true, 25}));
+
+/// Plays half a minute of jobs, cuts and heals, late orders and failing tasks.
+void playAtRandom(EntryFake &Fake, std::uint64_t Seed) {
+  Random Rng(Seed);
+  Fake.Workers.TaskTime = std::chrono::milliseconds(50 + Rng.below(1500));
+  Fake.Workers.FailPercent = Rng.below(10);
+  Fake.Faults.LatePercent = Rng.below(8);
+  Fake.settle();
+  bool IsCut = false;
+  for (int Step = 0; Step < 30; ++Step) {
+    for (std::uint64_t I = Rng.below(3); I > 0; --I)
+      Fake.submit(Rng.below(4), "job" + std::to_string(Step * 4 + I),
+                  1 + static_cast<std::uint32_t>(Rng.below(3)));
+    if (Rng.below(8) == 0) {
+      IsCut = !IsCut;
+      if (IsCut)
+        Fake.cutDataCentre(Rng.below(2) == 0);
+      else
+        Fake.join();
+    }
+    Fake.run(Duration(20'000 + Rng.below(300'000)));
+  }
+  Fake.join();
+  Fake.run(4s);
+}
+
+// Seeds that once showed a fault.
+TEST(EntryJobsTest, SeedsThatFailed) {
+  for (std::uint64_t Seed : {9541U, 548815U, 1865U, 9017U, 332759U, 35109U, 27827U}) {
+    EntryFake Fake(2, 3, Seed);
+    playAtRandom(Fake, Seed);
+    EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
+    EXPECT_EQ(Fake.owners().size(), 1U) << "seed " << Seed;
+  }
+}
+
+RC_GTEST_PROP(EntryJobsProperties, NoTaskRunsTwiceAtATime, ()) {
+  auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1U << 20U);
+  EntryFake Fake(2, 3, Seed);
+  playAtRandom(Fake, Seed);
+  RC_ASSERT(Fake.Workers.Doubled.empty());
+  RC_ASSERT(Fake.owners().size() == 1U);
+}
+
+} // namespace
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/tests/fakeworkers.h
@@ -0,0 +1,118 @@
+//===- fakeworkers.h - Workers that keep leases and tokens ------*- C++ -*-===//
+//
+// Workers on a paused clock, as the orders of IWorkerCalls describe them: they
+// run tasks for a while, kill everything when the lease ends, obey the highest
+// token, and remember their ends. They note every start, so that a test can see
+// whether one task ran twice at a time.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_TESTS_FAKEWORKERS_H
+#define GERANIUMBAY_JOBS_TESTS_FAKEWORKERS_H
+
+#include "framework/clock/itimers.h"
+#include "framework/random/random.h"
+#include "jobs/workerdirectory.h"
+
+#include <map>
+#include <set>
+
+namespace geraniumbay::jobs {
+
+/// What can go wrong between callers and workers.
+struct WorkerFaults {
+  /// Pairs of hosts that cannot reach each other.
+  std::set<std::pair<std::string, std::string>> Cut;
+  /// Out of a hundred orders, how many get no answer and are carried out late.
+  std::uint64_t LatePercent = 0;
+
+  bool isCut(const std::string &One, const std::string &Other) const {
+    return Cut.count({One, Other}) != 0 || Cut.count({Other, One}) != 0;
+  }
+};
+
+/// All workers of a test.
+class FakeWorkers {
+public:
+  FakeWorkers(const IClock &Clock, ITimers &Timers, WorkerFaults &Faults)
+      : Clock_(Clock), Timers_(Timers), Faults_(Faults) {}
+
+  /// Adds a worker with \p CpuMillis and returns what it announces.
+  WorkerInfo add(const std::string &Host, const std::string &DataCentre,
+                 std::uint32_t CpuMillis);
+
+  /// How long tasks take, and how many out of a hundred fail.
+  Duration TaskTime = std::chrono::milliseconds(200);
+  std::uint64_t FailPercent = 0;
+  Random Rng{1};
+
+  // What was seen.
+  /// Tasks of which two runs were there at one time.
+  std::set<TaskId> Doubled;
+  std::uint64_t Starts = 0;
+  std::uint64_t RoomRefusals = 0;
+
+  std::size_t running() const;
+
+private:
+  friend class FakeWorkerCalls;
+  struct Running {
+    RunNumber Number;
+    std::uint64_t Serial;
+  };
+  struct Worker {
+    WorkerInfo Info;
+    FencingToken Token;
+    std::map<TaskId, Running> Tasks;
+    std::map<TaskId, RunNumber> Ended;
+    std::vector<EndedTask> Ends;
+    std::uint64_t LastEnd = 0;
+    Time Lease;
+    /// A hold that waits for an end, and until when.
+    std::function<void()> Waiting;
+  };
+
+  StartAnswer start(Worker &At, const StartOrder &Order);
+  void stop(Worker &At, const StopOrder &Order);
+  Outcome<HoldAnswer> look(Worker &At, const HoldOrder &Order);
+  void extend(Worker &At, WorkerMillis Until);
+  void end(Worker &At, const TaskId &Task, EndKind How);
+  void checkLease(Worker &At);
+  bool runsElsewhere(const Worker &Here, const TaskId &Task);
+  WorkerMillis clockNow() const;
+
+  const IClock &Clock_;
+  ITimers &Timers_;
+  WorkerFaults &Faults_;
+  std::uint64_t LastSerial_ = 0;
+  std::map<WorkerId, Worker> Workers_;
+};
+
+/// The calls of one host to the workers; each way takes a millisecond.
+class FakeWorkerCalls : public IWorkerCalls {
+public:
+  FakeWorkerCalls(FakeWorkers &Workers, std::string Host)
+      : All_(Workers), Host_(std::move(Host)) {}
+
+  void start(const WorkerTarget &To, const StartOrder &Order,
+             std::function<void(StartAnswer)> Done) override;
+  void stop(const WorkerTarget &To, const StopOrder &Order) override;
+  void hold(const WorkerTarget &To, const HoldOrder &Order,
+            std::function<void(Outcome<HoldAnswer>)> Done) override;
+
+  /// The host's process has ended: it sends nothing.
+  bool Dead = false;
+
+private:
+  /// Runs \p Arrive at the worker after the way there; false if it is late, so
+  /// that no answer must be given.
+  void deliver(const WorkerTarget &To,
+               std::function<void(FakeWorkers::Worker &, bool Answers)> Arrive);
+
+  FakeWorkers &All_;
+  const std::string Host_;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_TESTS_FAKEWORKERS_H
