--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -74,6 +74,13 @@
   return Json::Value(Json::objectValue);
 }
 
+std::string namesOf(const std::vector<MemberId> &Members) {
+  std::string Names;
+  for (const MemberId &Member : Members)
+    Names += (Names.empty() ? "" : ",") + Member.Vm.value();
+  return Names;
+}
+
 Error noLeader() {
   return {ErrorCode::Unavailable, "the control group has no leader now"};
 }
@@ -108,8 +115,7 @@
   Out.Failed = [this](const Error &Why) { failed(Why); };
   Runner_ = std::make_unique<MemberRunner>(
       startReplica(std::move(Raft), Options_.Validate, Options_.Module), Store_,
-      Clock_,
-      std::move(Out));
+      Clock_, std::move(Out));
   publish();
   offerMethods();
   tick();
@@ -123,9 +129,8 @@
                      (this->*Member)(Params, std::move(Answer));
                    });
   };
-  for (const char *Name :
-       {"control.vote", "control.append", "control.snapshot", "control.join",
-        "control.take_over"})
+  for (const char *Name : {"control.vote", "control.append", "control.snapshot",
+                           "control.join", "control.take_over"})
     Offer(Name, &ControlService::receive);
   Offer("control.propose", &ControlService::propose);
   Offer("control.ledger", &ControlService::changeLedger);
@@ -184,8 +189,27 @@
                });
 }
 
+void ControlService::logChanges() {
+  const RaftState &Raft = Runner_->replica().Raft;
+  if (Raft.Group.Members != LoggedMembers_) {
+    LoggedMembers_ = Raft.Group.Members;
+    logEvent(LogLevel::Info, Module, "members",
+             {{"voters", namesOf(LoggedMembers_.Voters)},
+              {"learners", namesOf(LoggedMembers_.Learners)},
+              {"term", Raft.Hard.Current}});
+  }
+  if (Raft.Leader == LoggedLeader_)
+    return;
+  LoggedLeader_ = Raft.Leader;
+  logEvent(LogLevel::Info, Module, "leader",
+           {{"leader", LoggedLeader_ ? LoggedLeader_->Vm.value() : ""},
+            {"term", Raft.Hard.Current},
+            {"commit", Raft.Commit}});
+}
+
 void ControlService::handled(const ReplicaEvent &What) {
   publish();
+  logChanges();
   for (const auto &Run : Subscribers_)
     Run();
   const auto *From = std::get_if<Received>(&What);
@@ -354,13 +378,12 @@
 
 void ControlService::change(ConfigChange Change,
                             std::function<void(Outcome<ConfigAnswer>)> Answer) {
-  submitTyped(
-      std::move(Change),
-      [Answer = std::move(Answer)](const Outcome<ProposalAnswer> &Result) {
-        if (!Result)
-          return Answer(Result.error());
-        Answer(std::get<ConfigAnswer>(*Result));
-      });
+  submitTyped(std::move(Change), [Answer = std::move(Answer)](
+                                     const Outcome<ProposalAnswer> &Result) {
+    if (!Result)
+      return Answer(Result.error());
+    Answer(std::get<ConfigAnswer>(*Result));
+  });
 }
 
 void ControlService::handOver() { Runner_->post(HandOver{}); }
--- a/src/control/internal/controlservice.h
+++ b/src/control/internal/controlservice.h
@@ -21,9 +21,9 @@
 #define GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
 
 #include "control/controloptions.h"
-#include "control/ireplicatedlog.h"
 #include "control/internal/memberrunner.h"
 #include "control/internal/watchtable.h"
+#include "control/ireplicatedlog.h"
 #include "framework/clock/itimers.h"
 #include "framework/rpc/irpcclient.h"
 #include "framework/rpc/irpcserver.h"
@@ -70,6 +70,8 @@
   void receive(const Json::Value &Params, Reply Answer);
   void send(const Message &What);
   void handled(const ReplicaEvent &What);
+  /// Logs a change of the members or the leader.
+  void logChanges();
   void failed(const Error &Why);
 
   // Proposals.
@@ -106,6 +108,10 @@
   std::unique_ptr<MemberRunner> Runner_;
   Time Started_;
 
+  /// What was logged last.
+  Membership LoggedMembers_;
+  std::optional<MemberId> LoggedLeader_;
+
   std::uint64_t LastCall_ = 0;
   /// Consensus messages received and not yet answered, by Message::Call.
   std::map<std::uint64_t, Reply> Calls_;
--- a/src/control/internal/rafttypes.h
+++ b/src/control/internal/rafttypes.h
@@ -159,9 +159,9 @@
   Membership Founders;
 };
 
-using MessageBody =
-    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
-                 SnapshotRequest, FindGroup, FindGroupAnswer, FoundGroup, TakeOver>;
+using MessageBody = std::variant<VoteRequest, VoteResponse, AppendRequest,
+                                 AppendResponse, SnapshotRequest, FindGroup,
+                                 FindGroupAnswer, FoundGroup, TakeOver>;
 
 struct Message {
   GroupId Group;
--- a/src/control/tests/rafttest.cpp
+++ b/src/control/tests/rafttest.cpp
@@ -59,7 +59,8 @@
 
 TEST(RaftTest, AHandOverMovesAFollowerThatHearsItsLeader) {
   RaftState State = follower();
-  receive(State, Second, 3, AppendRequest{LogIndex(2), Term(2), {}, LogIndex(0)});
+  receive(State, Second, 3,
+          AppendRequest{LogIndex(2), Term(2), {}, LogIndex(0)});
   VoteRequest Usual{false, LogIndex(2), Term(2)};
   VoteRequest HandedOver{false, LogIndex(2), Term(2), true};
   EXPECT_FALSE(granted(receive(State, Third, 4, Usual)));
@@ -74,8 +75,9 @@
   receive(State, Second, 4, VoteResponse{false, true}, Elected);
   ASSERT_EQ(State.Current, Role::Leader);
   auto Answer = [&](Time Sent, Time Now) {
-    Message Back{Group, Second, Self, Term(4), 0,
-                 AppendResponse{true, lastIndex(State.Log)}, Sent};
+    Message Back{Group,   Second, Self,
+                 Term(4), 0,      AppendResponse{true, lastIndex(State.Log)},
+                 Sent};
     step(State, Received{Back}, Now);
   };
   Duration Timeout = State.Settings.ElectionTimeout;
--- a/src/jobs/ijobcontrol.h
+++ b/src/jobs/ijobcontrol.h
@@ -28,8 +28,7 @@
   /// force is acknowledged and changes nothing. InvalidArgument: it is refused.
   virtual void putRouting(const std::string &Document, Acknowledge Done) = 0;
   /// The newest document, or NotFound; Unavailable if that is not certain.
-  virtual void
-  getRouting(std::function<void(Outcome<std::string>)> Done) = 0;
+  virtual void getRouting(std::function<void(Outcome<std::string>)> Done) = 0;
 
   /// Where the leader is reached by its peers, if it is known.
   virtual std::optional<Endpoint> leader() const = 0;
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -170,16 +170,16 @@
   What->TakenBy = View_.Owner.At;
   if (!Scheduler_ || !ownsPool(View_))
     return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
-  Scheduler_->run(What->Wanted, What->GiveUp - Now, What->Own, What->MaybeTaken,
-                  [this, What, Attempt = What->Attempt](
-                      const Outcome<JobState> &Ended) {
-                    if (Attempt != What->Attempt)
-                      return;
-                    if (Ended)
-                      return finish(What, answerOfEnd(*Ended));
-                    What->MaybeTaken = true;
-                    park(What);
-                  });
+  Scheduler_->run(
+      What->Wanted, What->GiveUp - Now, What->Own, What->MaybeTaken,
+      [this, What, Attempt = What->Attempt](const Outcome<JobState> &Ended) {
+        if (Attempt != What->Attempt)
+          return;
+        if (Ended)
+          return finish(What, answerOfEnd(*Ended));
+        What->MaybeTaken = true;
+        park(What);
+      });
 }
 
 void EntryJobs::sendToOwner(const AskPtr &What) {
@@ -206,8 +206,8 @@
   if (Result && !Result->isMember("not_owner")) {
     // The answer to an earlier sending is as good as any.
     auto Answer = attempt([&] { return wire::readAnswer(*Result); });
-    if (Answer && (Attempt == What->Attempt ||
-                   Answer->Outcome == JobOutcome::Known))
+    if (Answer &&
+        (Attempt == What->Attempt || Answer->Outcome == JobOutcome::Known))
       return finish(What, *Answer);
   }
   if (Attempt != What->Attempt)
--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -107,22 +107,21 @@
       std::to_string(Needs_.Clock.now().time_since_epoch().count()));
   Change.Base = Base;
   Change.Document = Document;
-  Needs_.Log.change(
-      std::move(Change),
-      [this, Document, Version, Tries,
-       Done](const Outcome<control::ConfigAnswer> &Answer) {
-        if (!Answer)
-          return Done(Answer.error());
-        if (!Answer->Failure) {
-          logEvent(LogLevel::Info, Module, "routing_accepted",
-                   {{"document", Version.value()},
-                    {"configuration", Answer->Version}});
-          return Done(geraniumbay::Done{});
-        }
-        if (*Answer->Failure != ErrorCode::Conflict || Tries == 0)
-          return Done(Error{ErrorCode::Unavailable, "another change was first"});
-        proposeRouting(Document, Version, Tries - 1, Done);
-      });
+  Needs_.Log.change(std::move(Change), [this, Document, Version, Tries, Done](
+                                           const Outcome<control::ConfigAnswer>
+                                               &Answer) {
+    if (!Answer)
+      return Done(Answer.error());
+    if (!Answer->Failure) {
+      logEvent(
+          LogLevel::Info, Module, "routing_accepted",
+          {{"document", Version.value()}, {"configuration", Answer->Version}});
+      return Done(geraniumbay::Done{});
+    }
+    if (*Answer->Failure != ErrorCode::Conflict || Tries == 0)
+      return Done(Error{ErrorCode::Unavailable, "another change was first"});
+    proposeRouting(Document, Version, Tries - 1, Done);
+  });
 }
 
 void JobService::getRouting(std::function<void(Outcome<std::string>)> Done) {
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -156,7 +156,8 @@
     return;
   }
   JobAnswer Answer;
-  Answer.Outcome = What->MaybeTaken ? JobOutcome::Unknown : JobOutcome::NotTaken;
+  Answer.Outcome =
+      What->MaybeTaken ? JobOutcome::Unknown : JobOutcome::NotTaken;
   Answer.RetryAfter = RetryAfterNoLeader;
   Answer.Reason = "no leader was found";
   What->Done(Answer);
@@ -184,9 +185,9 @@
 
 void JobGateway::probe() {
   Endpoint To = target();
-  Client_.call(To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout, [this, To](const Outcome<Json::Value> &Result) {
-                 probed(To, Result);
-               });
+  Client_.call(
+      To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout,
+      [this, To](const Outcome<Json::Value> &Result) { probed(To, Result); });
   Timers_.after(ready() ? ProbeInterval : SearchInterval, [this] { probe(); });
 }
 
@@ -206,8 +207,7 @@
   if (!Serves)
     return follow(*Result);
   if (!ready())
-    logEvent(LogLevel::Info, Module, "leader_found",
-             {{"leader", From.text()}});
+    logEvent(LogLevel::Info, Module, "leader_found", {{"leader", From.text()}});
   Leader_ = From;
   ReadyAt_ = Clock_.now();
 }
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -12,11 +12,12 @@
 //         workers_of?, workers_change?, workers?, entries?}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers and entries.
-//   pool.ping    {from, CLAIM, echo_us, stopping} -> {CLAIM, stamp_us, stopping}
+//   pool.ping    {from, CLAIM, echo_us, stopping} -> {CLAIM, stamp_us,
+//   stopping}
 //     where CLAIM is owner, token, highest, workers? (of an owner), rival?,
 //     rival_token?
-//   pool.run     {job, left_us, origin, serial, maybe_taken?} -> answer, or {owner, token, not_owner}
-//   pool.drop    {job, origin, serial} -> {}
+//   pool.run     {job, left_us, origin, serial, maybe_taken?} -> answer, or
+//   {owner, token, not_owner} pool.drop    {job, origin, serial} -> {}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -229,8 +229,8 @@
   auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
-  bool Current = Of && Change && *Of == Term_->value() &&
-                 *Change == Directory_.Changes;
+  bool Current =
+      Of && Change && *Of == Term_->value() && *Change == Directory_.Changes;
   if (Current)
     return;
   Into["workers_of"] = Json::UInt64(Term_->value());
@@ -264,10 +264,11 @@
         Needs_.Measured.observe("geraniumbay_job_accept_seconds",
                                 "From a submission to its commit.", {},
                                 Needs_.Clock.now() - Began);
-        logEvent(LogLevel::Info, Module, "job_submitted",
-                 {{"job", Id},
-                  {"outcome", Was ? "accepted" : errorCodeName(Was.error().Code)},
-                  {"commit_us", (Needs_.Clock.now() - Began).count()}});
+        logEvent(
+            LogLevel::Info, Module, "job_submitted",
+            {{"job", Id},
+             {"outcome", Was ? "accepted" : errorCodeName(Was.error().Code)},
+             {"commit_us", (Needs_.Clock.now() - Began).count()}});
         Answer(wire::write(Was ? outcome(JobOutcome::Accepted)
                                : unconfirmed(Was.error())));
       });
@@ -276,9 +277,9 @@
 void JobService::runTransient(Job New, const Json::Value &Params,
                               const Reply &Answer) {
   auto Left = attempt([&] { return json::readUintOr(Params, "left_us", 0); });
-  Duration Patience =
-      Left && *Left != 0 ? Duration(static_cast<Duration::rep>(*Left))
-                         : UsualPatience;
+  Duration Patience = Left && *Left != 0
+                          ? Duration(static_cast<Duration::rep>(*Left))
+                          : UsualPatience;
   Time Began = Needs_.Clock.now();
   JobId Id = New.Id;
   Scheduler_->run(
@@ -358,15 +359,13 @@
   if (!Term_)
     return Done();
   if (!Stopping_)
-    logEvent(LogLevel::Info, Module, "hands_over",
-             {{"term", Term_->value()}});
+    logEvent(LogLevel::Info, Module, "hands_over", {{"term", Term_->value()}});
   Stopping_ = true;
   Needs_.Log.handOver();
   // What is under way is committed first, so it may take a few tries.
   constexpr Duration TryAgain = std::chrono::milliseconds(10);
-  Needs_.Timers.after(TryAgain, [this, Done = std::move(Done)] {
-    prepareStop(Done);
-  });
+  Needs_.Timers.after(TryAgain,
+                      [this, Done = std::move(Done)] { prepareStop(Done); });
 }
 
 void JobService::shareWorkers() {
--- a/src/jobs/internal/jobwire.cpp
+++ b/src/jobs/internal/jobwire.cpp
@@ -180,10 +180,10 @@
       !From[1].isUInt() || !From[2].isUInt() || !From[3].isUInt64() ||
       !From[4].isUInt())
     return fail(ErrorCode::InvalidArgument, "malformed end of a task");
-  return TaskEnd{{JobId(From[0].asString()), From[1].asUInt(),
-                  From[2].asUInt()},
-                 RunNumber(From[3].asUInt64()),
-                 From[4].asUInt() != 0};
+  return TaskEnd{
+      {JobId(From[0].asString()), From[1].asUInt(), From[2].asUInt()},
+      RunNumber(From[3].asUInt64()),
+      From[4].asUInt() != 0};
 }
 
 template <typename T, typename ReadT>
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -21,8 +21,9 @@
 /// A worker that refused a task is left alone for this long: about the time in
 /// which it ends a task.
 constexpr Duration RestAfterRefusal = std::chrono::milliseconds(100);
-/// The first run of a durable job's task that another leader may have started is
-/// numbered from its term, so that it is above all numbers of earlier leaders.
+/// The first run of a durable job's task that another leader may have started
+/// is numbered from its term, so that it is above all numbers of earlier
+/// leaders.
 constexpr std::uint64_t RunsPerTerm = 1000;
 
 bool carries(const WorkerInfo &Info, const std::string &Label) {
@@ -84,8 +85,7 @@
 }
 
 WorkerSession *Scheduler::bestWorker(const WaitingTask &Task, Time Now) {
-  const StepSpec &Step =
-      jobOf(Task.Id.Job)->Spec.Steps[Task.Id.Step];
+  const StepSpec &Step = jobOf(Task.Id.Job)->Spec.Steps[Task.Id.Step];
   WorkerSession *Best = nullptr;
   std::uint32_t LeastLeft = UINT32_MAX;
   for (auto &[Id, Each] : Sessions_) {
@@ -105,8 +105,7 @@
 
 RunNumber Scheduler::nextRun(const Job &Of, const TaskId &Task) {
   bool Own = Of.Spec.Transient || Of.AcceptedIn == Token_;
-  std::uint64_t First =
-      Own ? 1 : termOf(Token_).value() * RunsPerTerm + 1;
+  std::uint64_t First = Own ? 1 : termOf(Token_).value() * RunsPerTerm + 1;
   std::uint64_t Recorded = taskOf(Task)->LastEnded.value();
   RunNumber &Last = LastRuns_[Task];
   Last = RunNumber(std::max({Last.value() + 1, First, Recorded + 1}));
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -170,8 +170,7 @@
   auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
   if (Highest)
     noteHighest(View_, FencingToken(*Highest));
-  auto Rival =
-      attempt([&] { return readClaim(From, "rival", "rival_token"); });
+  auto Rival = attempt([&] { return readClaim(From, "rival", "rival_token"); });
   if (Rival)
     noteClaim(View_, *Rival, Endpoint(), Needs_.Clock.now());
   auto Claim = attempt([&] { return readClaim(From, "owner", "token"); });
@@ -188,11 +187,10 @@
   Params["from"] = Self_.text();
   Params["echo_us"] = Json::UInt64(Echoes_[To]);
   Params["stopping"] = View_.Stopping;
-  Needs_.Client.call(To, wire::method::Ping, std::move(Params), PingTimeout,
-                     [this, To, Sent = Needs_.Clock.now()](
-                         const Outcome<Json::Value> &Result) {
-                       pinged(To, Sent, Result);
-                     });
+  Needs_.Client.call(
+      To, wire::method::Ping, std::move(Params), PingTimeout,
+      [this, To, Sent = Needs_.Clock.now()](
+          const Outcome<Json::Value> &Result) { pinged(To, Sent, Result); });
 }
 
 void EntryJobs::pinged(const Endpoint &To, Time Sent,
@@ -207,9 +205,8 @@
     return;
   }
   noteAnswer(View_, To, flag(*Result, "stopping"), Sent);
-  Echoes_[To] = (*Result)["stamp_us"].isUInt64()
-                    ? (*Result)["stamp_us"].asUInt64()
-                    : 0;
+  Echoes_[To] =
+      (*Result)["stamp_us"].isUInt64() ? (*Result)["stamp_us"].asUInt64() : 0;
   OwnerClaim Word = takeClaim(*Result, To);
   noteOwnWord(View_, To, Word);
   meetOwner(*Result, Word, To);
@@ -231,8 +228,8 @@
   // The echo is this entry's own clock; one from before its start means
   // nothing, and one from the future is none of its own.
   if (Params["echo_us"].isUInt64() && Params["echo_us"].asUInt64() != 0) {
-    Time Heard{Duration(
-        static_cast<Duration::rep>(Params["echo_us"].asUInt64()))};
+    Time Heard{
+        Duration(static_cast<Duration::rep>(Params["echo_us"].asUInt64()))};
     Time &Contact = Contacts_[*From];
     Contact = std::max(Contact, std::min(Heard, Needs_.Clock.now()));
   }
@@ -277,8 +274,7 @@
   Contacts_.try_emplace(*Origin, Now);
   Scheduler_->run(std::move(*Wanted),
                   Duration(static_cast<Duration::rep>(*Left)),
-                  {*Origin, serialOf(Params)},
-                  flag(Params, "maybe_taken"),
+                  {*Origin, serialOf(Params)}, flag(Params, "maybe_taken"),
                   [Answer, NotOwner](const Outcome<JobState> &Ended) {
                     if (Ended)
                       return Answer(wire::write(answerOfEnd(*Ended)));
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -130,8 +130,7 @@
     View.RivalHeard = Now;
     return false;
   }
-  bool OwnWord =
-      !Owned && Claim.At == Speaker && Claim.Token == View.LastClaim;
+  bool OwnWord = !Owned && Claim.At == Speaker && Claim.Token == View.LastClaim;
   if (Claim.Token <= View.LastClaim && !OwnWord)
     return false;
   adopt(View, Claim, Now);
@@ -152,8 +151,8 @@
     return;
   if (View.RivalHeard && Now - *View.RivalHeard < RivalSettles)
     return;
-  View.Highest = FencingToken(View.Highest.value() +
-                              FencedStepMillis * TokensPerMilli);
+  View.Highest =
+      FencingToken(View.Highest.value() + FencedStepMillis * TokensPerMilli);
   if (hearsHalf(View, Now)) {
     View.Owner.Token = tokenAbove(View, 0);
     View.Highest = View.LastClaim = View.Owner.Token;
@@ -202,7 +201,8 @@
     return !View.Stopping;
   auto Found = View.Peers.find(Entry);
   return Found != View.Peers.end() && !Found->second.Refused &&
-         !Found->second.Stopping && Found->second.Answered && Now - *Found->second.Answered < DeadAfter;
+         !Found->second.Stopping && Found->second.Answered &&
+         Now - *Found->second.Answered < DeadAfter;
 }
 
 bool ownsPool(const PoolView &View) {
@@ -232,8 +232,8 @@
 
 std::optional<OwnerClaim> claimIfDue(PoolView &View, Time Now,
                                      WallMillis Wall) {
-  bool Owned = View.Owner.Token != FencingToken(0) &&
-               isAlive(View, View.Owner.At, Now);
+  bool Owned =
+      View.Owner.Token != FencingToken(0) && isAlive(View, View.Owner.At, Now);
   if (Owned || View.Stopping || Now < View.NoClaimBefore ||
       !hasLookedAround(View, Now) || firstAlive(View, Now) != View.Self)
     return std::nullopt;
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -38,8 +38,8 @@
 /// An owner that was fenced and hears less than half of the entries lets the
 /// others go on, and makes no claim for so long.
 constexpr Duration FencedPause = std::chrono::seconds(3);
-/// Owners that have heard of each other settle it by their words within so long;
-/// being fenced tells them nothing new meanwhile.
+/// Owners that have heard of each other settle it by their words within so
+/// long; being fenced tells them nothing new meanwhile.
 constexpr Duration RivalSettles = std::chrono::milliseconds(500);
 /// The time that an owner takes from noticing to having stopped.
 constexpr Duration StopMargin = std::chrono::milliseconds(100);
@@ -62,8 +62,8 @@
   std::optional<Time> Answered;
   /// When it last sent something.
   std::optional<Time> Heard;
-  /// When it first refused a connection since: its process is gone, or something
-  /// between refuses in its name.
+  /// When it first refused a connection since: its process is gone, or
+  /// something between refuses in its name.
   std::optional<Time> Refused;
   /// It says that it is stopping, and lets go of the pool.
   bool Stopping = false;
@@ -116,8 +116,8 @@
 void noteStopping(PoolView &View, const Endpoint &Peer);
 /// Notes that \p Peer has sent something.
 void noteHeard(PoolView &View, const Endpoint &Peer, Time Now);
-/// Notes a claim that \p Speaker passed on. Returns whether the owner changed; a
-/// new owner counts as alive for now. While the owner is alive only its own
+/// Notes a claim that \p Speaker passed on. Returns whether the owner changed;
+/// a new owner counts as alive for now. While the owner is alive only its own
 /// word changes it. The last claim itself comes back into force by its owner's
 /// own word only: others may not know that it let go.
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
@@ -134,8 +134,8 @@
 /// force by now.
 void noteFenced(PoolView &View, FencingToken Token, Time Now);
 
-/// Two owners have met: \p Other is the claim of the one that speaks. \p Own and
-/// \p Others count their workers. The larger one takes a token above the
+/// Two owners have met: \p Other is the claim of the one that speaks. \p Own
+/// and \p Others count their workers. The larger one takes a token above the
 /// other's, if it has none; the smaller one follows the other once it has.
 /// Returns whether this entry's claim changed.
 bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
--- a/src/jobs/internal/routing.cpp
+++ b/src/jobs/internal/routing.cpp
@@ -13,8 +13,7 @@
   const Queue *Best = nullptr;
   for (const Queue &Each : In.Queues) {
     const std::string &Prefix = Each.Place.PathPrefix;
-    if (Each.Place.Host != Host ||
-        Path.compare(0, Prefix.size(), Prefix) != 0)
+    if (Each.Place.Host != Host || Path.compare(0, Prefix.size(), Prefix) != 0)
       continue;
     if (!Best || Prefix.size() > Best->Place.PathPrefix.size())
       Best = &Each;
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -47,8 +47,7 @@
       Batches_(Needs_.Log
                    ? std::make_unique<Batcher>(*Needs_.Log, Needs_.Timers)
                    : nullptr),
-      TakenOverAt_(Needs_.Clock.now() + Lease.EarlierOwner +
-                   leaseBound(Lease)),
+      TakenOverAt_(Needs_.Clock.now() + Lease.EarlierOwner + leaseBound(Lease)),
       OrphansUntil_(Needs_.Clock.now() + Lease.KeepOrphans) {
   std::size_t Active = 0;
   for (const auto &[Id, Each] : Needs_.Store.Jobs) {
@@ -88,8 +87,8 @@
 }
 
 std::size_t Scheduler::workers() const {
-  return static_cast<std::size_t>(std::count_if(
-      Sessions_.begin(), Sessions_.end(), [](const auto &Entry) {
+  return static_cast<std::size_t>(
+      std::count_if(Sessions_.begin(), Sessions_.end(), [](const auto &Entry) {
         return Entry.second.Known && !Entry.second.Silent;
       }));
 }
@@ -99,31 +98,31 @@
   JobChanges Changes;
   Changes.Accepted.push_back(std::move(New));
   JobId Id = Changes.Accepted.front().Id;
-  Batches_->add(std::move(Changes), [this, Alive = Alive_, Id,
-                                    Done = std::move(Done)](
-                                       const Outcome<geraniumbay::Done> &Was) {
-    Done(Was);
-    if (!*Alive || !Was)
-      return;
-    const Job *Of = findJob(Needs_.Store, Id);
-    if (!Of || Of->State != JobState::Active || Orders_.count(Id) != 0)
-      return;
-    Orders_[Id] = ++LastOrder_;
-    enqueueReady(*Of);
-    scheduleSoon();
-  });
+  Batches_->add(
+      std::move(Changes), [this, Alive = Alive_, Id, Done = std::move(Done)](
+                              const Outcome<geraniumbay::Done> &Was) {
+        Done(Was);
+        if (!*Alive || !Was)
+          return;
+        const Job *Of = findJob(Needs_.Store, Id);
+        if (!Of || Of->State != JobState::Active || Orders_.count(Id) != 0)
+          return;
+        Orders_[Id] = ++LastOrder_;
+        enqueueReady(*Of);
+        scheduleSoon();
+      });
 }
 
 void Scheduler::cancel(const JobId &Id, Callback Done) {
   JobChanges Changes;
   Changes.Cancelled.push_back(Id);
   Batches_->add(std::move(Changes),
-               [this, Alive = Alive_, Id, Done = std::move(Done)](
-                   const Outcome<geraniumbay::Done> &Was) {
-                 Done(Was);
-                 if (*Alive && Was)
-                   jobSettled(Id);
-               });
+                [this, Alive = Alive_, Id, Done = std::move(Done)](
+                    const Outcome<geraniumbay::Done> &Was) {
+                  Done(Was);
+                  if (*Alive && Was)
+                    jobSettled(Id);
+                });
 }
 
 std::size_t Scheduler::pending(const QueueName &Queue) const {
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -95,8 +95,8 @@
                         const LeaseSettings &Settings, Time Now) {
   Duration Passed = (Now - Session.ClockSeen) *
                     (Percent - Settings.SlowClockPercent) / Percent;
-  auto Millis = std::chrono::floor<std::chrono::milliseconds>(
-      Passed + Settings.Longest);
+  auto Millis =
+      std::chrono::floor<std::chrono::milliseconds>(Passed + Settings.Longest);
   return WorkerMillis(Session.Clock.value() + Millis.count());
 }
 
@@ -143,10 +143,9 @@
 HoldFindings takeHold(WorkerSession &Session, const HoldAnswer &Answer,
                       Time Now) {
   HoldFindings Out;
-  bool Newest = noteClock(Session, Answer.Clock, Now);
+  Out.Current = noteClock(Session, Answer.Clock, Now);
   takeEnds(Session, Answer, Out);
-  // What an overtaken answer lists as running may have ended since.
-  if (!Newest)
+  if (!Out.Current)
     return Out;
   takeRunning(Session, Answer, Out);
   dropMissing(Session, Answer, Out);
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -81,8 +81,8 @@
   /// An earlier owner that is cut off gives no lease after this time: by then
   /// it has noticed (see OwnerSilence in poolview.h).
   Duration EarlierOwner{0};
-  /// How long what the earlier owner left is not stopped, for the entries to hand
-  /// its jobs in again.
+  /// How long what the earlier owner left is not stopped, for the entries to
+  /// hand its jobs in again.
   Duration KeepOrphans{0};
   /// The earlier owner has let go, so that their lease may be renewed too.
   bool RenewOrphans = false;
@@ -116,6 +116,9 @@
 
 /// What a hold answer shows.
 struct HoldFindings {
+  /// The answer is newer than all before. An answer that was overtaken tells of
+  /// ends only: what it lists as running may have changed since.
+  bool Current = false;
   /// Runs of this leader that have ended, with their ends.
   std::vector<EndedTask> Ended;
   /// Tasks that run there and that the session did not have.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -67,13 +67,13 @@
     noteLease(With, Lease_, Now);
   }
   With.HoldUnderWay = true;
-  Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
-                      [this, Alive = Alive_, Worker = With.Info.Worker,
-                       When = Sent{Now, Token_}](
-                          const Outcome<HoldAnswer> &Answer) {
-                        if (*Alive)
-                          held(Worker, When, Answer);
-                      });
+  Needs_.Workers.hold(
+      {With.Info.Worker, With.Info.At}, Order,
+      [this, Alive = Alive_, Worker = With.Info.Worker,
+       When = Sent{Now, Token_}](const Outcome<HoldAnswer> &Answer) {
+        if (*Alive)
+          held(Worker, When, Answer);
+      });
 }
 
 void Scheduler::look(WorkerSession &With) {
@@ -82,21 +82,23 @@
   HoldOrder Order;
   Order.Token = Token_;
   Order.LastSeenEnd = With.RecordedEnd;
-  Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
-                      [this, Alive = Alive_, Worker = With.Info.Worker,
-                       Sent = Needs_.Clock.now()](
-                          const Outcome<HoldAnswer> &Answer) {
-                        WorkerSession *On = *Alive ? session(Worker) : nullptr;
-                        if (On && Answer)
-                          takeAnswer(*On, Sent, *Answer);
-                      });
+  Needs_.Workers.hold(
+      {With.Info.Worker, With.Info.At}, Order,
+      [this, Alive = Alive_, Worker = With.Info.Worker,
+       Sent = Needs_.Clock.now()](const Outcome<HoldAnswer> &Answer) {
+        WorkerSession *On = *Alive ? session(Worker) : nullptr;
+        if (On && Answer)
+          takeAnswer(*On, Sent, *Answer);
+      });
 }
 
 void Scheduler::takeAnswer(WorkerSession &On, Time Sent,
                            const HoldAnswer &Answer) {
-  On.LookedAt = std::max(On.LookedAt, Sent);
   HoldFindings Findings = takeHold(On, Answer, Needs_.Clock.now());
   takeFindings(On, Findings, !On.Known || On.Silent);
+  if (!Findings.Current)
+    return;
+  On.LookedAt = std::max(On.LookedAt, Sent);
   On.Known = true;
   if (On.Silent)
     logEvent(LogLevel::Info, Module, "worker_answers",
@@ -253,20 +255,20 @@
                               JobChanges Changes) {
   JobChanges Copy = Changes;
   Batches_->add(std::move(Changes),
-               [this, Alive = Alive_, Worker, Upto,
-                Ends = std::move(Copy)](const Outcome<Done> &Was) {
-                 // Without an answer from the log this leader is none any
-                 // more; the next one finds the ends at the worker.
-                 if (!*Alive || !Was)
-                   return;
-                 committed(Ends);
-                 WorkerSession *With = session(Worker);
-                 if (!With)
-                   return;
-                 With->RecordedEnd = std::max(With->RecordedEnd, Upto);
-                 if (With->RecordedEnd == With->TakenEnd)
-                   hold(*With);
-               });
+                [this, Alive = Alive_, Worker, Upto,
+                 Ends = std::move(Copy)](const Outcome<Done> &Was) {
+                  // Without an answer from the log this leader is none any
+                  // more; the next one finds the ends at the worker.
+                  if (!*Alive || !Was)
+                    return;
+                  committed(Ends);
+                  WorkerSession *With = session(Worker);
+                  if (!With)
+                    return;
+                  With->RecordedEnd = std::max(With->RecordedEnd, Upto);
+                  if (With->RecordedEnd == With->TakenEnd)
+                    hold(*With);
+                });
 }
 
 void Scheduler::stopRunsOf(const JobId &Id) {
--- a/src/jobs/iworkercalls.h
+++ b/src/jobs/iworkercalls.h
@@ -9,8 +9,8 @@
 #ifndef GERANIUMBAY_JOBS_IWORKERCALLS_H
 #define GERANIUMBAY_JOBS_IWORKERCALLS_H
 
-#include "framework/net/endpoint.h"
 #include "framework/clock/iclock.h"
+#include "framework/net/endpoint.h"
 #include "jobs/jobtypes.h"
 
 #include <functional>
--- a/src/jobs/jobssetup.cpp
+++ b/src/jobs/jobssetup.cpp
@@ -29,8 +29,7 @@
       Services.get<Metrics>(framework_name::Metrics),
       Services.get<IRpcServer>(framework_name::RpcServer),
       Services.get<IRpcClient>(framework_name::RpcClient)};
-  auto Service =
-      std::make_shared<JobService>(Needs, std::move(Reader), Lease);
+  auto Service = std::make_shared<JobService>(Needs, std::move(Reader), Lease);
   Services.add<IJobControl>(service_name::JobControl, Service);
   Service->start();
 }
@@ -46,8 +45,8 @@
                    Services.get<Metrics>(framework_name::Metrics),
                    Services.get<IRpcServer>(framework_name::RpcServer),
                    Services.get<IRpcClient>(framework_name::RpcClient)};
-  auto Gateway = std::make_shared<EntryJobs>(
-      Needs, Self, std::move(ControlVms), std::move(Reader), Lease);
+  auto Gateway = std::make_shared<EntryJobs>(Needs, Self, std::move(ControlVms),
+                                             std::move(Reader), Lease);
   Services.add<IJobGateway>(service_name::JobGateway, Gateway);
   Gateway->start();
 }
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -105,8 +105,7 @@
   FakeEntry &New = Entries[Entry];
   New.Rpc = std::make_unique<FakePeerRpc>(Net, New.At);
   New.Workers = std::make_unique<FakeWorkerCalls>(Workers, New.At.Address);
-  EntryNeeds Needs{*New.Workers, Clock,    Timers,
-                   Measured,     *New.Rpc, *New.Rpc};
+  EntryNeeds Needs{*New.Workers, Clock, Timers, Measured, *New.Rpc, *New.Rpc};
   New.Jobs = std::make_unique<EntryJobs>(
       Needs, New.At, std::vector<Endpoint>{Control_},
       [](const std::string &) -> RetVal<Routing> { return oneQueue(); },
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -54,9 +54,8 @@
   JobSpec Spec;
   Spec.Transient = true;
   Spec.Steps.emplace_back();
-  Fake.Entries[0].Jobs->submit(
-      {"host", "/other/job", 1s}, Spec,
-      [&](const JobAnswer &Given) { Answer = Given; });
+  Fake.Entries[0].Jobs->submit({"host", "/other/job", 1s}, Spec,
+                               [&](const JobAnswer &Given) { Answer = Given; });
   ASSERT_TRUE(Answer);
   EXPECT_EQ(Answer->Outcome, JobOutcome::NoQueue);
 }
@@ -210,7 +209,8 @@
 
 // Seeds that once showed a fault.
 TEST(EntryJobsTest, SeedsThatFailed) {
-  for (std::uint64_t Seed : {9541U, 548815U, 1865U, 9017U, 332759U, 35109U, 27827U}) {
+  for (std::uint64_t Seed :
+       {9541U, 548815U, 1865U, 9017U, 332759U, 35109U, 27827U}) {
     EntryFake Fake(2, 3, Seed);
     playAtRandom(Fake, Seed);
     EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -116,14 +116,14 @@
   std::uint64_t Serial = ++LastSerial_;
   At.Tasks[Order.Task] = {Order.Run, Serial};
   bool Fails = Rng.below(100) < FailPercent;
-  Timers_.after(TaskTime, [this, Id = At.Info.Worker, Task = Order.Task, Serial,
-                           Fails] {
-    Worker &There = Workers_[Id];
-    checkLease(There);
-    auto Still = There.Tasks.find(Task);
-    if (Still != There.Tasks.end() && Still->second.Serial == Serial)
-      end(There, Task, Fails ? EndKind::Failed : EndKind::Done);
-  });
+  Timers_.after(
+      TaskTime, [this, Id = At.Info.Worker, Task = Order.Task, Serial, Fails] {
+        Worker &There = Workers_[Id];
+        checkLease(There);
+        auto Still = There.Tasks.find(Task);
+        if (Still != There.Tasks.end() && Still->second.Serial == Serial)
+          end(There, Task, Fails ? EndKind::Failed : EndKind::Done);
+      });
   return Answer;
 }
 
--- /dev/null
+++ b/src/jobs/tests/workersessiontest.cpp
@@ -0,0 +1,92 @@
+//===- workersessiontest.cpp - Reading of hold answers --------------------===//
+
+#include "jobs/internal/workersession.h"
+
+#include <gtest/gtest.h>
+
+namespace geraniumbay::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Time Now{1h};
+const TaskId First{JobId("job"), 0, 0};
+const TaskId Second{JobId("job"), 0, 1};
+
+WorkerSession sessionWith(const TaskId &Task, std::int64_t ShownAfter) {
+  WorkerSession Result;
+  Result.Info.Capacity = {4000, 1000, 0};
+  Result.Clock = WorkerMillis(1000);
+  Result.ClockSeen = Now;
+  addRun(Result, Task,
+         jobs::Run{RunNumber(1),
+                   {1000, 10, 0},
+                   Now,
+                   false,
+                   false,
+                   WorkerMillis(ShownAfter)});
+  return Result;
+}
+
+HoldAnswer answerAt(std::int64_t Clock) {
+  HoldAnswer Result;
+  Result.Clock = WorkerMillis(Clock);
+  return Result;
+}
+
+TEST(WorkerSessionTest, AStartWithoutAnAnswerIsGivenUpOnlyAfterItsLease) {
+  WorkerSession Session = sessionWith(First, 2000);
+  EXPECT_TRUE(takeHold(Session, answerAt(2000), Now).Missing.empty());
+  EXPECT_EQ(Session.Used.CpuMillis, 1000U);
+  EXPECT_EQ(takeHold(Session, answerAt(2001), Now).Missing.size(), 1U);
+  EXPECT_EQ(Session.Used.CpuMillis, 0U);
+}
+
+TEST(WorkerSessionTest, AnEndFreesItsRoomOnce) {
+  WorkerSession Session = sessionWith(First, 2000);
+  HoldAnswer Answer = answerAt(1500);
+  Answer.Ended.push_back({1, First, RunNumber(1), EndKind::Done});
+  EXPECT_EQ(takeHold(Session, Answer, Now).Ended.size(), 1U);
+  EXPECT_TRUE(Session.Runs.empty());
+  EXPECT_TRUE(takeHold(Session, Answer, Now).Ended.empty());
+}
+
+TEST(WorkerSessionTest, TheEndOfAnEarlierRunLeavesALaterOne) {
+  WorkerSession Session = sessionWith(First, 2000);
+  removeRun(Session, First);
+  addRun(Session, First,
+         jobs::Run{
+             RunNumber(2), {1000, 10, 0}, Now, true, false, WorkerMillis(0)});
+  HoldAnswer Answer = answerAt(1500);
+  Answer.Ended.push_back({1, First, RunNumber(1), EndKind::Other});
+  Answer.Running.push_back({First, RunNumber(2)});
+  takeHold(Session, Answer, Now);
+  EXPECT_EQ(Session.Runs.size(), 1U);
+}
+
+// Answers on different connections overtake each other: what an old one lists
+// must neither drop a run nor say that nothing unknown runs there.
+TEST(WorkerSessionTest, AnOvertakenAnswerTellsOfEndsOnly) {
+  WorkerSession Session = sessionWith(First, 0);
+  HoldAnswer Newer = answerAt(3000);
+  Newer.Running.push_back({First, RunNumber(1)});
+  Newer.Running.push_back({Second, RunNumber(1)});
+  HoldFindings Found = takeHold(Session, Newer, Now);
+  EXPECT_TRUE(Found.Current);
+  EXPECT_EQ(Found.Found.size(), 1U);
+  HoldFindings Old = takeHold(Session, answerAt(2500), Now);
+  EXPECT_FALSE(Old.Current);
+  EXPECT_TRUE(Old.Missing.empty());
+  EXPECT_EQ(Session.Runs.size(), 1U);
+}
+
+TEST(WorkerSessionTest, ALeaseNeverExceedsWhatASlowClockGrants) {
+  WorkerSession Session = sessionWith(First, 0);
+  LeaseSettings Settings;
+  // A worker whose clock is 2% slow shows 980 ms after a second.
+  EXPECT_EQ(leaseUntil(Session, Settings, Now + 1s).value(), 1000 + 980 + 1000);
+  EXPECT_GE(leaseBound(Settings), 1020ms + Settings.KillTime);
+}
+
+} // namespace
+} // namespace geraniumbay::jobs
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -54,7 +54,8 @@
 /// announce every second or two; a crashed one says nothing.
 constexpr Duration WorkerSilence = std::chrono::seconds(8);
 
-/// Takes an announcement of \p Info. Returns false if it is older than what is known.
+/// Takes an announcement of \p Info. Returns false if it is older than what is
+/// known.
 bool announce(WorkerDirectory &Directory, const WorkerInfo &Info, Time Now);
 /// Notes that the incarnation has ended.
 void leave(WorkerDirectory &Directory, const WorkerId &Worker);
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,269 @@
+"""The system's processes on the users' platform, against stand-ins.
+
+Bounds of time are generous; nothing is asserted about how long something took.
+"""
+
+import os
+import threading
+import unittest
+
+from platform_standin import Fleet, HOST, request, wait_until
+
+
+class Callers:
+    """Submits jobs in the background, each at the next entry in turn."""
+
+    def __init__(self, fleet, entries):
+        self.fleet = fleet
+        self.entries = entries
+        self.answers = {}
+        self.threads = []
+
+    def submit(self, job_id, entry=None, **fields):
+        if entry is None:
+            entry = self.entries[len(self.threads) % len(self.entries)]
+
+        def run():
+            self.answers[job_id] = self.fleet.job(entry, job_id, **fields)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        self.threads.append(thread)
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+
+class PlatformTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.begin()
+
+    def tearDown(self):
+        self.assertEqual(self.fleet.doubled, [])
+
+    def owner(self):
+        """The entry whose log shows the last claim of the pool."""
+        claims = []
+        for index, machine in enumerate(self.fleet.entries):
+            for line in machine.log().splitlines():
+                if "event=took_over" in line:
+                    claims.append((line.split("time=")[1][:23], index))
+        return max(claims)[1]
+
+    def serve_again(self, entry, prefix):
+        """Waits until a new job is served there."""
+        count = iter(range(1000))
+
+        def served():
+            status, body = self.fleet.job(entry, f"{prefix}{next(count):08x}")
+            return status == 200 and body["state"] == "completed"
+
+        wait_until(served, 30, "a job is served")
+
+    def test_job_is_answered_when_it_has_ended(self):
+        status, body = self.fleet.job(0, "00000000000000aa")
+        self.assertEqual((status, body), (200, {"state": "completed"}))
+        self.assertEqual(self.fleet.starts, 3)
+        # Sent again elsewhere it is the same job.
+        status, body = self.fleet.job(1, "00000000000000aa")
+        self.assertEqual((status, body), (200, {"state": "completed"}))
+        self.assertEqual(self.fleet.starts, 3)
+
+    def test_stored_job_is_accepted_run_and_shown(self):
+        status, _ = self.fleet.job(0, "00000000000000ab", stored=True)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.fleet.ask(1, "GET", "00000000000000ff")[0], 410)
+        wait_until(
+            lambda: self.fleet.ask(1, "GET", "00000000000000ab")
+            == (200, {"state": "completed"}),
+            20,
+            "the job is shown as completed",
+        )
+        self.assertEqual(self.fleet.starts, 3)
+        status, _ = self.fleet.job(
+            2, "00000000000000ac", stored=True, seconds=30
+        )
+        self.assertEqual(status, 200)
+        wait_until(
+            lambda: self.fleet.ask(0, "GET", "00000000000000ac")[1]
+            == {"state": "running"},
+            20,
+            "the job runs",
+        )
+        self.assertEqual(self.fleet.ask(0, "DELETE", "00000000000000ac")[0], 200)
+        self.assertEqual(
+            self.fleet.ask(1, "GET", "00000000000000ac"),
+            (200, {"state": "cancelled"}),
+        )
+        wait_until(
+            lambda: not any(self.fleet.places.values()), 10, "its tasks stop"
+        )
+
+    def test_stored_job_survives_its_leader(self):
+        status, _ = self.fleet.job(
+            0, "00000000000000ad", stored=True, seconds=3, tasks=6
+        )
+        self.assertEqual(status, 200)
+        wait_until(lambda: self.fleet.starts >= 6, 20, "its tasks run")
+        for machine in self.fleet.core:
+            if "event=leads " in machine.log():
+                machine.kill()
+                machine.start()
+        wait_until(
+            lambda: self.fleet.ask(1, "GET", "00000000000000ad")
+            == (200, {"state": "completed"}),
+            40,
+            "the job is shown as completed",
+        )
+
+    def test_killed_owner_loses_no_job_of_others(self):
+        owner = self.owner()
+        others = [i for i in range(3) if i != owner]
+        callers = Callers(self.fleet, others)
+        for number in range(4):
+            callers.submit(f"{number:016x}", seconds=1.0, tasks=2)
+        wait_until(lambda: self.fleet.starts >= 8, 20, "all tasks run")
+        self.fleet.entries[owner].kill()
+        callers.join()
+        for job_id, (status, body) in callers.answers.items():
+            self.assertEqual((job_id, status), (job_id, 200), body)
+        self.fleet.entries[owner].start()
+        self.serve_again(owner, "000000a0")
+
+    def test_without_control_vms_service_goes_on(self):
+        for machine in self.fleet.core:
+            machine.kill()
+        status, body = self.fleet.job(0, "00000000000000ae")
+        self.assertEqual((status, body), (200, {"state": "completed"}))
+        for machine in self.fleet.core:
+            machine.start()
+        wait_until(
+            lambda: (self.fleet.config() or {}).get("version") == 3,
+            20,
+            "the configuration is read back",
+        )
+
+    def test_wiped_control_vm_joins_again(self):
+        self.fleet.core[0].kill()
+        self.fleet.core[0].wipe()
+        self.assertEqual(self.fleet.put(self.fleet.manifest(9)), 200)
+        self.fleet.core[0].start()
+        wiped = f"{self.fleet.core[0].ip}:"
+
+        def votes():
+            members = [
+                line
+                for line in self.fleet.core[1].log().splitlines()
+                if "event=members" in line
+            ]
+            return wiped in members[-1].split("learners=")[0]
+
+        wait_until(
+            lambda: "event=routing_in_force configuration=2"
+            in self.fleet.core[0].log(),
+            20,
+            "the wiped control VM has the configuration",
+        )
+        wait_until(votes, 20, "the wiped control VM votes")
+        # Its vote counts again: another one may go.
+        self.fleet.core[1].kill()
+        self.assertEqual(self.fleet.put(self.fleet.manifest(12)), 200)
+        self.assertEqual(self.fleet.config()["version"], 12)
+
+    def test_planned_stop_of_an_entry_cuts_nothing(self):
+        callers = Callers(self.fleet, [0])
+        for number in range(3):
+            callers.submit(f"{number:016x}", seconds=1.5, tasks=1)
+        wait_until(lambda: self.fleet.starts >= 3, 20, "all tasks run")
+        self.fleet.entries[0].terminate()
+        callers.join()
+        for status, body in callers.answers.values():
+            self.assertEqual((status, body), (200, {"state": "completed"}))
+        self.assertEqual(self.fleet.entries[0].process.wait(timeout=10), 0)
+
+    def test_planned_stop_of_each_control_vm_in_turn(self):
+        for machine in self.fleet.core:
+            machine.terminate()
+            self.assertEqual(machine.process.wait(timeout=10), 0)
+            status, _ = self.fleet.job(1, os.urandom(8).hex())
+            self.assertEqual(status, 200)
+            machine.start()
+            wait_until(
+                lambda: (self.fleet.config() or {}).get("version") == 3,
+                20,
+                "the configuration is read back",
+            )
+
+    def test_draining_worker_gets_nothing_more(self):
+        self.fleet.workers[0].state = "draining"
+        wait_until(
+            lambda: any(
+                "event=worker_drains worker=i-0" in machine.log()
+                for machine in self.fleet.entries
+            ),
+            20,
+            "the owner knows",
+        )
+        for number in range(6):
+            self.fleet.job(number % 3, f"{number:016x}", seconds=0.02)
+        self.assertEqual(self.fleet.starts, 18)
+        self.assertFalse(self.fleet.workers[0].highest)
+
+    def test_bad_configurations_change_nothing(self):
+        good = self.fleet.manifest(50)
+        route = good["routes"][0]
+        bad = [
+            '{"version":50,"routes":[',
+            "[]",
+            "",
+            self.fleet.manifest("50"),
+            self.fleet.manifest(50, routes=[dict(route, service="none")]),
+            self.fleet.manifest(50, routes=[route, dict(route, name="r2")]),
+            self.fleet.manifest(50, routes=[dict(route, timeout_ms=0)]),
+            self.fleet.manifest(50, routes=[dict(route, priority=-1)]),
+        ]
+        for body in bad:
+            self.assertEqual(self.fleet.put(body), 400, body)
+        self.assertEqual(self.fleet.config()["version"], 3)
+        # An older version is acknowledged, and other content under the number
+        # in force is not taken.
+        self.assertEqual(self.fleet.put(self.fleet.manifest(2)), 200)
+        self.assertEqual(self.fleet.put(self.fleet.manifest(3, routes=[])), 200)
+        self.assertEqual(self.fleet.config(), self.fleet.manifest(3))
+
+    def test_bad_requests_get_a_clear_answer(self):
+        front = self.fleet.front(0)
+        headers = {"host": HOST}
+        for body in (
+            "",
+            "{",
+            "[]",
+            "{}",
+            {"spec": 1, "phases": [{"count": 1}]},
+            {"spec": "", "phases": []},
+            {"spec": "", "phases": [{"count": 0}]},
+            {"spec": "", "phases": [{"count": 1, "depends_on": [0]}]},
+            {"spec": "", "phases": [{"count": 1, "gang": True}]},
+            {"spec": "x" * 5000, "phases": [{"count": 1}]},
+        ):
+            status, _ = request(
+                front, "POST", "/claims/00000000000000af", body, headers
+            )
+            self.assertEqual(status, 400, body)
+        status, _ = request(
+            front, "POST", "/none/00000000000000af", {"spec": "0", "phases": [{}]}, headers
+        )
+        self.assertEqual(status, 404)
+        self.assertEqual(request(front, "GET", "/none/", None, headers)[0], 404)
+        self.assertEqual(
+            request(front, "GET", "/claims/", None, headers),
+            (200, {"pending": 0}),
+        )
+        self.assertEqual(self.fleet.starts, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
