--- a/src/framework/log/log.cpp
+++ b/src/framework/log/log.cpp
@@ -6,6 +6,8 @@
 
 #include "framework/log/log.h"
 
+#include "framework/log/internal/logsetup.h"
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
@@ -90,15 +92,11 @@
     Logger->log(LogLevel, formatEvent(Name, Fields));
 }
 
-void startLogging(LogLevel Lowest, const std::string &File) {
-  log4cxx::LayoutPtr Layout =
-      std::make_shared<log4cxx::PatternLayout>(LinePattern);
-  log4cxx::AppenderPtr Appender;
-  if (File.empty())
-    Appender = std::make_shared<log4cxx::ConsoleAppender>(
-        Layout, log4cxx::ConsoleAppender::getSystemErr());
-  else
-    Appender = std::make_shared<log4cxx::FileAppender>(Layout, File, true);
+log4cxx::LayoutPtr logLayout() {
+  return std::make_shared<log4cxx::PatternLayout>(LinePattern);
+}
+
+void logTo(const log4cxx::AppenderPtr &Appender, LogLevel Lowest) {
   // Only the project's own loggers: an unconfigured root logger is silent.
   log4cxx::LoggerPtr Parent = log4cxx::Logger::getLogger("gb");
   Parent->setAdditivity(false);
@@ -107,4 +105,13 @@
   Parent->setLevel(levelOf(Lowest));
 }
 
+void startLogging(LogLevel Lowest, const std::string &File) {
+  if (File.empty())
+    return logTo(std::make_shared<log4cxx::ConsoleAppender>(
+                     logLayout(), log4cxx::ConsoleAppender::getSystemErr()),
+                 Lowest);
+  logTo(std::make_shared<log4cxx::FileAppender>(logLayout(), File, true),
+        Lowest);
+}
+
 } // namespace geraniumbay
