Let entries show a new owner that they hear it before they hand jobs in

Change: a job carries the echo too, and waits for one fresh ping of the owner. Test: ANewOwnerKeepsTheJobsOfAllEntries.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -166,6 +166,11 @@
                isAlive(View_, View_.Owner.At, Now);
   if (!Owned)
     return park(What);
+  // An owner stops the jobs of entries that do not show that they hear it.
+  if (View_.Owner.At != Self_ && !hasFreshEcho(View_.Owner.At)) {
+    ping(View_.Owner.At);
+    return park(What);
+  }
   What->SentTo = View_.Owner;
   What->TakenBy = View_.Owner.At;
   if (!Scheduler_ || !ownsPool(View_))
@@ -189,6 +194,7 @@
   Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
   Params["origin"] = Self_.text();
   Params["serial"] = Json::UInt64(What->Own.Serial);
+  Params["echo_us"] = Json::UInt64(Echoes_[View_.Owner.At].Stamp);
   if (What->MaybeTaken)
     Params["maybe_taken"] = true;
   Endpoint To = What->SentTo->At;
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -80,6 +80,10 @@
   void pingEntries();
   void followOwner();
   void dropSilentOrigins(Time Now);
+  /// Takes this entry's own stamp that a message of \p From brings back.
+  void noteEcho(const Endpoint &From, const Json::Value &Params);
+  /// Whether \p Owner can tell from the next message that it is heard here.
+  bool hasFreshEcho(const Endpoint &Owner) const;
   Json::Value writeClaim() const;
 
   // Transient jobs of this entry's callers (entryjobs.cpp).
@@ -113,8 +117,12 @@
 
   PoolView View_;
   std::set<Endpoint> PingsUnderWay_;
-  /// The owner's clock in its last answer, to be sent back to it.
-  std::map<Endpoint, std::uint64_t> Echoes_;
+  /// The clock of an entry in its last answer, to be sent back to it.
+  struct Echo {
+    std::uint64_t Stamp = 0;
+    Time Taken;
+  };
+  std::map<Endpoint, Echo> Echoes_;
   /// Of an owner: until when each entry has certainly heard it.
   std::map<Endpoint, Time> Contacts_;
   const JobStore NoDurableJobs_;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -16,7 +16,8 @@
 //   stopping}
 //     where CLAIM is owner, token, highest, workers? (of an owner), rival?,
 //     rival_token?
-//   pool.run     {job, left_us, origin, serial, maybe_taken?} -> answer, or
+//   pool.run     {job, left_us, origin, serial, echo_us,
+//                 maybe_taken?} -> answer, or
 //   {owner, token, not_owner} pool.drop    {job, origin, serial} -> {}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -185,7 +185,7 @@
     return;
   Json::Value Params = writeClaim();
   Params["from"] = Self_.text();
-  Params["echo_us"] = Json::UInt64(Echoes_[To]);
+  Params["echo_us"] = Json::UInt64(Echoes_[To].Stamp);
   Params["stopping"] = View_.Stopping;
   Needs_.Client.call(
       To, wire::method::Ping, std::move(Params), PingTimeout,
@@ -205,11 +205,30 @@
     return;
   }
   noteAnswer(View_, To, flag(*Result, "stopping"), Sent);
-  Echoes_[To] =
-      (*Result)["stamp_us"].isUInt64() ? (*Result)["stamp_us"].asUInt64() : 0;
+  if ((*Result)["stamp_us"].isUInt64())
+    Echoes_[To] = {(*Result)["stamp_us"].asUInt64(), Sent};
   OwnerClaim Word = takeClaim(*Result, To);
   noteOwnWord(View_, To, Word);
   meetOwner(*Result, Word, To);
+  if (To == View_.Owner.At)
+    redispatchParked();
+}
+
+void EntryJobs::noteEcho(const Endpoint &From, const Json::Value &Params) {
+  // The echo is this entry's own clock; one from before its start means
+  // nothing, and one from the future is none of its own.
+  if (!Params["echo_us"].isUInt64() || Params["echo_us"].asUInt64() == 0)
+    return;
+  Time Heard{
+      Duration(static_cast<Duration::rep>(Params["echo_us"].asUInt64()))};
+  Time &Contact = Contacts_[From];
+  Contact = std::max(Contact, std::min(Heard, Needs_.Clock.now()));
+}
+
+bool EntryJobs::hasFreshEcho(const Endpoint &Owner) const {
+  auto Found = Echoes_.find(Owner);
+  return Found != Echoes_.end() &&
+         Needs_.Clock.now() - Found->second.Taken < OwnerSilence;
 }
 
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
@@ -225,14 +244,7 @@
   meetOwner(Params, Word, *From);
   if (flag(Params, "stopping"))
     noteStopping(View_, *From);
-  // The echo is this entry's own clock; one from before its start means
-  // nothing, and one from the future is none of its own.
-  if (Params["echo_us"].isUInt64() && Params["echo_us"].asUInt64() != 0) {
-    Time Heard{
-        Duration(static_cast<Duration::rep>(Params["echo_us"].asUInt64()))};
-    Time &Contact = Contacts_[*From];
-    Contact = std::max(Contact, std::min(Heard, Needs_.Clock.now()));
-  }
+  noteEcho(*From, Params);
   Json::Value Result = writeClaim();
   Result["stamp_us"] = Json::UInt64(stampOf(Needs_.Clock.now()));
   Result["stopping"] = View_.Stopping;
@@ -270,8 +282,7 @@
   };
   if (!Scheduler_ || !ownsPool(View_))
     return Answer(NotOwner(false));
-  Time Now = Needs_.Clock.now();
-  Contacts_.try_emplace(*Origin, Now);
+  noteEcho(*Origin, Params);
   Scheduler_->run(std::move(*Wanted),
                   Duration(static_cast<Duration::rep>(*Left)),
                   {*Origin, serialOf(Params)}, flag(Params, "maybe_taken"),
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -98,6 +98,28 @@
   EXPECT_NE(Fake.owners().at(0), Owner);
 }
 
+// A new owner has not heard yet that the others hear it.
+TEST(EntryJobsTest, ANewOwnerKeepsTheJobsOfAllEntries) {
+  EntryFake Fake(2, 6);
+  Fake.Workers.TaskTime = 600ms;
+  Fake.settle();
+  std::size_t Owner = Fake.owners().at(0);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 0; I < 4; ++I)
+    Jobs.push_back(Fake.submit(I, "before" + std::to_string(I)));
+  Fake.run(200ms);
+  Fake.Entries[Owner].Jobs->prepareStop();
+  for (int Step = 0; Step < 10; ++Step) {
+    for (std::size_t I = 0; I < 4; ++I)
+      Jobs.push_back(Fake.submit(I, "after" + std::to_string(Step * 4 + I), 1));
+    Fake.run(100ms);
+  }
+  Fake.run(3s);
+  for (const auto &Job : Jobs)
+    EXPECT_TRUE(served(Job));
+  EXPECT_EQ(Fake.Workers.Starts, 48U);
+}
+
 TEST(EntryJobsTest, AnOwnerThatDiesIsReplacedWithinASecond) {
   EntryFake Fake(2, 3);
   Fake.settle();
