--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -260,9 +260,12 @@
   }
 }
 
-void EntryJobs::finish(AskPtr What, const JobAnswer &Answer) {
-  if (Asks_.erase(What) == 0)
+void EntryJobs::finish(const AskPtr &Asked, const JobAnswer &Answer) {
+  // Keeps the request: the caller may hold the last other reference to it.
+  auto Kept = Asks_.extract(Asked);
+  if (!Kept)
     return;
+  const AskPtr &What = Kept.value();
   ++What->Attempt;
   bool Served = Answer.Outcome == JobOutcome::Known;
   if (!Served)
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -91,8 +91,7 @@
   void sendToOwner(const AskPtr &What);
   void answered(const AskPtr &What, std::uint64_t Attempt, const Endpoint &From,
                 const Outcome<Json::Value> &Result);
-  /// Keeps \p What alive while its caller is answered.
-  void finish(AskPtr What, const JobAnswer &Answer);
+  void finish(const AskPtr &Asked, const JobAnswer &Answer);
   void abandon(const AskPtr &What);
   void park(const AskPtr &What);
   void redispatchParked();
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -78,27 +78,28 @@
 
 void EntryFake::offerControl() {
   ControlRpc_ = std::make_unique<FakePeerRpc>(Net, Control_);
-  ControlRpc_->method(wire::method::Sync, [this](const Json::Value &Params,
-                                                 IRpcServer::Reply Answer) {
-    if (ControlAway)
-      return;
-    Json::Value Result(Json::objectValue);
-    Result["leader"] = "";
-    Result["ready"] = true;
-    Result["schedules"] = false;
-    Result["configuration"] = 1;
-    Result["document"] = "document";
-    for (const FakeEntry &Each : Entries)
-      Result["entries"].append(Each.At.text());
-    if (Params["workers_change"].asUInt64() == 0) {
-      Result["workers_of"] = 1;
-      Result["workers_change"] = 1;
-      Result["workers"] = Json::Value(Json::arrayValue);
-      for (const WorkerInfo &Info : Announced_)
-        Result["workers"].append(write(Info));
-    }
-    Answer(Result);
-  });
+  ControlRpc_->method(
+      wire::method::Sync,
+      [this](const Json::Value &Params, const IRpcServer::Reply &Answer) {
+        if (ControlAway)
+          return;
+        Json::Value Result(Json::objectValue);
+        Result["leader"] = "";
+        Result["ready"] = true;
+        Result["schedules"] = false;
+        Result["configuration"] = 1;
+        Result["document"] = "document";
+        for (const FakeEntry &Each : Entries)
+          Result["entries"].append(Each.At.text());
+        if (Params["workers_change"].asUInt64() == 0) {
+          Result["workers_of"] = 1;
+          Result["workers_change"] = 1;
+          Result["workers"] = Json::Value(Json::arrayValue);
+          for (const WorkerInfo &Info : Announced_)
+            Result["workers"].append(write(Info));
+        }
+        Answer(Result);
+      });
 }
 
 void EntryFake::start(std::size_t Entry) {
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -109,7 +109,7 @@
     Jobs.push_back(Fake.submit(I, "before" + std::to_string(I)));
   Fake.run(200ms);
   Fake.Entries[Owner].Jobs->prepareStop();
-  for (int Step = 0; Step < 10; ++Step) {
+  for (std::size_t Step = 0; Step < 10; ++Step) {
     for (std::size_t I = 0; I < 4; ++I)
       Jobs.push_back(Fake.submit(I, "after" + std::to_string(Step * 4 + I), 1));
     Fake.run(100ms);
@@ -183,7 +183,7 @@
     Fake.settle();
     for (int I = 0; I < 4; ++I)
       Fake.submit(I, "before" + std::to_string(I));
-    Fake.run(100ms + Duration(Seed * 70'000));
+    Fake.run(100ms + Seed * 70ms);
     Fake.cutDataCentre(GetParam().Refuses);
     for (int Step = 0; Step < GetParam().Long; ++Step) {
       for (int I = 0; I < 4; ++I)
@@ -212,7 +212,7 @@
   Fake.Faults.LatePercent = Rng.below(8);
   Fake.settle();
   bool IsCut = false;
-  for (int Step = 0; Step < 30; ++Step) {
+  for (std::uint64_t Step = 0; Step < 30; ++Step) {
     for (std::uint64_t I = Rng.below(3); I > 0; --I)
       Fake.submit(Rng.below(4), "job" + std::to_string(Step * 4 + I),
                   1 + static_cast<std::uint32_t>(Rng.below(3)));
