--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -44,14 +44,20 @@
     def tearDown(self):
         self.assertEqual(self.fleet.doubled, [])
 
+    def claims(self):
+        """The claims of the pool in the logs: their times and entries."""
+        return [
+            (line.split("time=")[1][:23], index)
+            for index, machine in enumerate(self.fleet.entries)
+            for line in machine.log().splitlines()
+            if "event=pool_claimed" in line
+        ]
+
     def owner(self):
-        """The entry whose log shows the last claim of the pool."""
-        claims = []
-        for index, machine in enumerate(self.fleet.entries):
-            for line in machine.log().splitlines():
-                if "event=took_over" in line:
-                    claims.append((line.split("time=")[1][:23], index))
-        return max(claims)[1]
+        """The entry that claimed the pool last."""
+        # Lines reach the log a moment after what they tell of.
+        wait_until(self.claims, 20, "a claim is in the log")
+        return max(self.claims())[1]
 
     def serve_again(self, entry, prefix):
         """Waits until a new job is served there."""
