--- a/src/framework/tests/linebuffertest.cpp
+++ b/src/framework/tests/logboundstest.cpp
@@ -1,9 +1,8 @@
-//===- linebuffertest.cpp - Bounds of the log -----------------------------===//
-
-#include "framework/log/linebuffer.h"
+//===- logboundstest.cpp - Bounds of the log ------------------------------===//
 
 #include "framework/clock/manualclock.h"
 #include "framework/clock/timerqueue.h"
+#include "framework/log/linebuffer.h"
 #include "framework/log/outputlog.h"
 
 #include <fcntl.h>
