--- a/src/framework/tests/logboundstest.cpp
+++ b/src/framework/tests/logboundstest.cpp
@@ -5,8 +5,9 @@
 #include "framework/log/linebuffer.h"
 #include "framework/log/outputlog.h"
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
+
+#include <fcntl.h>
 #include <unistd.h>
 
 namespace geraniumbay {
