--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -62,13 +62,10 @@
   WorkersOf_ = numberOr(Result, "workers_of", 0);
   WorkersChange_ = numberOr(Result, "workers_change", 0);
   Time Now = Needs_.Clock.now();
-  std::set<WorkerId> Listed;
   for (const Json::Value &Each : Result["workers"]) {
     auto Info = attempt([&] { return readWorker(Each); });
-    if (!Info)
-      continue;
-    Listed.insert(Info->Worker);
-    announce(Directory_, *Info, Now);
+    if (Info)
+      announce(Directory_, *Info, Now);
   }
   if (Scheduler_)
     Scheduler_->takeWorkers(Directory_);
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -165,10 +165,7 @@
 
 void JobGateway::follow(const Json::Value &Result) {
   Leader_.reset();
-  auto Named = attempt([&]() -> RetVal<Endpoint> {
-    BOOST_LEAF_AUTO(Text, json::readString(Result, "leader"));
-    return parseEndpoint(Text);
-  });
+  auto Named = attempt([&] { return wire::readEndpoint(Result, "leader"); });
   if (!Named)
     return;
   Leader_ = *Named;
--- a/src/jobs/internal/jobmessages.cpp
+++ b/src/jobs/internal/jobmessages.cpp
@@ -42,4 +42,9 @@
   return Result;
 }
 
+RetVal<Endpoint> readEndpoint(const Json::Value &From, const char *Name) {
+  BOOST_LEAF_AUTO(Text, json::readString(From, Name));
+  return parseEndpoint(Text);
+}
+
 } // namespace geraniumbay::jobs::wire
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -59,6 +59,9 @@
 Json::Value write(const JobAnswer &Value);
 RetVal<JobAnswer> readAnswer(const Json::Value &From);
 
+/// Reads the address in the field \p Name.
+RetVal<Endpoint> readEndpoint(const Json::Value &From, const char *Name);
+
 } // namespace geraniumbay::jobs::wire
 
 #endif // GERANIUMBAY_JOBS_INTERNAL_JOBMESSAGES_H
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -214,10 +214,7 @@
 
 void JobService::tellWorkers(const Json::Value &Params, Json::Value &Into) {
   Time Now = Needs_.Clock.now();
-  auto From = attempt([&]() -> RetVal<Endpoint> {
-    BOOST_LEAF_AUTO(Text, json::readString(Params, "entry"));
-    return parseEndpoint(Text);
-  });
+  auto From = attempt([&] { return wire::readEndpoint(Params, "entry"); });
   if (From)
     Entries_[*From] = Now;
   std::erase_if(Entries_, [&](const auto &Entry) {
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -232,10 +232,7 @@
 }
 
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
-  auto From = attempt([&]() -> RetVal<Endpoint> {
-    BOOST_LEAF_AUTO(Text, json::readString(Params, "from"));
-    return parseEndpoint(Text);
-  });
+  auto From = attempt([&] { return wire::readEndpoint(Params, "from"); });
   if (!From)
     return Answer(From.error());
   noteHeard(View_, *From, Needs_.Clock.now());
@@ -253,10 +250,7 @@
 
 void EntryJobs::answerDrop(const Json::Value &Params, const Reply &Answer) {
   auto Job = attempt([&] { return json::readString(Params, "job"); });
-  auto Origin = attempt([&]() -> RetVal<Endpoint> {
-    BOOST_LEAF_AUTO(Text, json::readString(Params, "origin"));
-    return parseEndpoint(Text);
-  });
+  auto Origin = attempt([&] { return wire::readEndpoint(Params, "origin"); });
   if (!Job || !Origin)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
   if (Scheduler_)
@@ -266,10 +260,7 @@
 
 void EntryJobs::answerRun(const Json::Value &Params, const Reply &Answer) {
   auto Wanted = attempt([&] { return wire::readJob(Params["job"]); });
-  auto Origin = attempt([&]() -> RetVal<Endpoint> {
-    BOOST_LEAF_AUTO(Text, json::readString(Params, "origin"));
-    return parseEndpoint(Text);
-  });
+  auto Origin = attempt([&] { return wire::readEndpoint(Params, "origin"); });
   auto Left = attempt([&] { return json::readUint(Params, "left_us"); });
   if (!Wanted || !Origin || !Left)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
