--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -20,6 +20,10 @@
   Time GiveUp;
   /// Without an owner the job is given up then.
   Time SearchUntil;
+  /// The pool it goes to. It stays there once an owner may have taken it: only
+  /// the pool's next owner finds what of it runs.
+  PoolName Pool;
+  Time PoolChosen;
   /// Counts the sendings; the answers to earlier ones are late.
   std::uint64_t Attempt = 0;
   /// Where it was sent last; unset while it waits for an owner.
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -24,6 +24,9 @@
 constexpr Duration SearchTime = std::chrono::milliseconds(1300);
 /// What the caller is told to wait then.
 constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
+/// A job that has not been sent keeps its pool for so long, the time in which
+/// the pool's owner is asked whether it is there.
+constexpr Duration ChoiceLasts = std::chrono::milliseconds(50);
 /// Left to the owner's answer for its way back.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
 
@@ -42,16 +45,16 @@
 
 } // namespace
 
-EntryJobs::EntryJobs(EntryNeeds Needs, Endpoint Self,
+EntryJobs::EntryJobs(EntryNeeds Needs, EntryPlace Self,
                      std::vector<Endpoint> ControlVms, RoutingReader Reader,
                      LeaseSettings Lease)
-    : Needs_(Needs), Self_(std::move(Self)), Reader_(std::move(Reader)),
+    : Needs_(Needs), Self_(std::move(Self.At)),
+      DataCentre_(std::move(Self.DataCentre)), Reader_(std::move(Reader)),
       Lease_(Lease),
       Control_(std::move(ControlVms), Needs.Client, Needs.Clock, Needs.Timers,
                {[this] { return askControl(); },
                 [this](const Json::Value &Result) { takeControl(Result); }}) {
-  View_.Self = Self_;
-  takeEntries(View_, {}, Needs_.Clock.now());
+  memberOf(poolOfAll(), DataCentre_);
 }
 
 void EntryJobs::start() {
@@ -73,12 +76,18 @@
 }
 
 bool EntryJobs::ready() const {
-  if (RoutingFrom_ == ConfigVersion(0) || View_.Stopping)
+  if (RoutingFrom_ == ConfigVersion(0) || Stopping_)
     return false;
   if (ControlSchedules_)
     return Control_.ready();
-  return View_.Owner.Token != FencingToken(0) &&
-         isAlive(View_, View_.Owner.At, Needs_.Clock.now());
+  return std::any_of(Pools_.begin(), Pools_.end(),
+                     [](const auto &Entry) { return Entry.second->isOwned(); });
+}
+
+bool EntryJobs::ownsAPool() const {
+  return std::any_of(Pools_.begin(), Pools_.end(), [](const auto &Entry) {
+    return Entry.second->scheduler() != nullptr;
+  });
 }
 
 std::function<void()> EntryJobs::submit(const JobRequest &Request,
@@ -119,11 +128,13 @@
   if (!What->SentTo)
     return;
   if (What->SentTo->At == Self_) {
-    if (Scheduler_)
-      Scheduler_->dropWaiter(What->Wanted.Id, What->Own);
+    PoolMember *In = findPool(What->Pool);
+    if (In && In->scheduler())
+      In->scheduler()->dropWaiter(What->Wanted.Id, What->Own);
     return;
   }
   Json::Value Params(Json::objectValue);
+  Params["pool"] = What->Pool.value();
   Params["job"] = What->Wanted.Id.value();
   Params["origin"] = Self_.text();
   Params["serial"] = Json::UInt64(What->Own.Serial);
@@ -158,25 +169,45 @@
   Done(outcome(JobOutcome::Known));
 }
 
-void EntryJobs::dispatch(const AskPtr &What) {
+PoolMember *EntryJobs::poolFor(const AskPtr &What) {
+  PoolMember *Chosen = findPool(What->Pool);
   Time Now = Needs_.Clock.now();
+  bool Stays = What->MaybeTaken || Now - What->PoolChosen < ChoiceLasts;
+  if (Stays && !What->Pool.value().empty())
+    return Chosen;
+  Chosen = choosePool(What->Wanted);
+  What->PoolChosen = Now;
+  if (Chosen)
+    What->Pool = Chosen->name();
+  return Chosen;
+}
+
+void EntryJobs::dispatch(const AskPtr &What) {
   ++What->Attempt;
   What->SentTo.reset();
-  bool Owned = View_.Owner.Token != FencingToken(0) &&
-               isAlive(View_, View_.Owner.At, Now);
-  if (!Owned)
+  PoolMember *In = poolFor(What);
+  if (!In || In->view().Owner.Token == FencingToken(0))
     return park(What);
+  const Endpoint &Owner = In->view().Owner.At;
   // An owner stops the jobs of entries that do not show that they hear it.
-  if (View_.Owner.At != Self_ && !hasFreshEcho(View_.Owner.At)) {
-    ping(View_.Owner.At);
+  if (Owner != Self_ && (!In->isOwned() || !hasFreshEcho(Owner))) {
+    ping(Owner, {In->name()});
     return park(What);
   }
-  What->SentTo = View_.Owner;
-  What->TakenBy = View_.Owner.At;
-  if (!Scheduler_ || !ownsPool(View_))
-    return View_.Owner.At == Self_ ? park(What) : sendToOwner(What);
-  Scheduler_->run(
-      What->Wanted, What->GiveUp - Now, What->Own, What->MaybeTaken,
+  if (!In->isOwned() || (Owner == Self_ && !In->scheduler()))
+    return park(What);
+  What->SentTo = In->view().Owner;
+  What->TakenBy = Owner;
+  In->noteSent(What->Wanted);
+  if (Owner == Self_)
+    return runHere(What, *In);
+  sendToOwner(What, *In);
+}
+
+void EntryJobs::runHere(const AskPtr &What, PoolMember &In) {
+  In.scheduler()->run(
+      What->Wanted, What->GiveUp - Needs_.Clock.now(), What->Own,
+      What->MaybeTaken,
       [this, What, Attempt = What->Attempt](const Outcome<JobState> &Ended) {
         if (Attempt != What->Attempt)
           return;
@@ -187,14 +218,15 @@
       });
 }
 
-void EntryJobs::sendToOwner(const AskPtr &What) {
+void EntryJobs::sendToOwner(const AskPtr &What, PoolMember &In) {
   Duration Left = What->GiveUp - Needs_.Clock.now();
   Json::Value Params(Json::objectValue);
+  Params["pool"] = In.name().value();
   Params["job"] = wire::write(What->Wanted);
   Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
   Params["origin"] = Self_.text();
   Params["serial"] = Json::UInt64(What->Own.Serial);
-  Params["echo_us"] = Json::UInt64(Echoes_[View_.Owner.At].Stamp);
+  Params["echo_us"] = Json::UInt64(Echoes_[What->SentTo->At].Stamp);
   if (What->MaybeTaken)
     Params["maybe_taken"] = true;
   Endpoint To = What->SentTo->At;
@@ -220,11 +252,13 @@
     return;
   bool Refused = !Result && Result.error().Code == ErrorCode::Refused;
   if (Refused)
-    noteRefused(View_, From, Needs_.Clock.now());
+    for (auto &[Name, In] : Pools_)
+      noteRefused(In->view(), From, Needs_.Clock.now());
   if (!Result && !Refused)
     What->MaybeTaken = true;
   if (Result) {
-    takeClaim(*Result, From);
+    if (PoolMember *In = findPool(What->Pool))
+      In->takeClaim(*Result, From);
     if (Result->isMember("maybe_taken"))
       What->MaybeTaken = true;
   }
@@ -238,26 +272,35 @@
 }
 
 void EntryJobs::redispatchParked() {
-  Time Now = Needs_.Clock.now();
   std::vector<AskPtr> Due;
-  for (const AskPtr &What : Asks_)
+  for (const AskPtr &What : Asks_) {
+    PoolMember *In = findPool(What->Pool);
     // One that waits for an owner who is no more is sent to the next.
-    if (!What->SentTo || What->SentTo->At != View_.Owner.At)
+    if (!What->SentTo || !In || What->SentTo->At != In->view().Owner.At)
       Due.push_back(What);
-  for (const AskPtr &What : Due) {
-    if (What->SentTo) {
-      What->MaybeTaken = true;
-      What->SearchUntil = Now + SearchTime;
-      park(What);
-    }
-    bool Elsewhere = What->MaybeTaken && What->TakenBy != View_.Owner.At;
-    if (Now >= std::min(What->SearchUntil, What->GiveUp))
-      finish(What, What->MaybeTaken
-                       ? outcome(JobOutcome::Unknown, "the owner was lost")
-                       : notTaken("no owner of the workers was found"));
-    else if (!Elsewhere || Now >= givenUpBy(View_, What->TakenBy))
-      dispatch(What);
   }
+  for (const AskPtr &What : Due)
+    redispatch(What);
+}
+
+void EntryJobs::redispatch(const AskPtr &What) {
+  Time Now = Needs_.Clock.now();
+  if (What->SentTo) {
+    What->MaybeTaken = true;
+    What->SearchUntil = Now + SearchTime;
+    park(What);
+  }
+  PoolMember *In = findPool(What->Pool);
+  if (What->MaybeTaken && !In)
+    // The workers have been divided anew meanwhile.
+    return finish(What, outcome(JobOutcome::Unknown, "its pool is no more"));
+  if (Now >= std::min(What->SearchUntil, What->GiveUp))
+    return finish(What, What->MaybeTaken
+                            ? outcome(JobOutcome::Unknown, "the owner was lost")
+                            : notTaken("no owner of the workers was found"));
+  bool Elsewhere = What->MaybeTaken && What->TakenBy != In->view().Owner.At;
+  if (!Elsewhere || Now >= givenUpBy(In->view(), What->TakenBy))
+    dispatch(What);
 }
 
 void EntryJobs::finish(const AskPtr &Asked, const JobAnswer &Answer) {
@@ -280,10 +323,12 @@
 }
 
 void EntryJobs::prepareStop() {
-  View_.Stopping = true;
-  followOwner();
-  for (const Endpoint &To : pingTargets(View_, Needs_.Clock.now()))
-    ping(To);
+  Stopping_ = true;
+  for (auto &[Name, In] : Pools_)
+    In->view().Stopping = true;
+  followOwners();
+  for (const auto &[To, About] : pingsDue())
+    ping(To, About);
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -15,8 +15,7 @@
 
 #include "framework/rpc/irpcserver.h"
 #include "jobs/internal/jobgateway.h"
-#include "jobs/internal/poolview.h"
-#include "jobs/internal/scheduler.h"
+#include "jobs/internal/poolmember.h"
 #include "jobs/routing.h"
 
 namespace geraniumbay::jobs {
@@ -33,7 +32,7 @@
 
 class EntryJobs : public IJobGateway {
 public:
-  EntryJobs(EntryNeeds Needs, Endpoint Self, std::vector<Endpoint> ControlVms,
+  EntryJobs(EntryNeeds Needs, EntryPlace Self, std::vector<Endpoint> ControlVms,
             RoutingReader Reader, LeaseSettings Lease);
 
   /// Offers the methods and starts; called once.
@@ -50,71 +49,89 @@
   }
   void prepareStop() override;
   /// Whether this entry schedules.
-  bool ownsThePool() const { return Scheduler_ != nullptr; }
+  bool ownsAPool() const;
 
 private:
   using Reply = IRpcServer::Reply;
   struct Ask;
   using AskPtr = std::shared_ptr<Ask>;
+  using Pools = std::map<PoolName, std::unique_ptr<PoolMember>>;
 
   // What control VMs say (entrysync.cpp).
   Json::Value askControl() const;
   void takeControl(const Json::Value &Result);
   void takeDocument(const Json::Value &Result);
+  void takePlan(const Json::Value &Result);
   void takeWorkers(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
+  void takeOwners(const Json::Value &Result);
+  PoolMember &memberOf(const PoolName &Name, const DataCentreId &DataCentre);
+  void rankCandidates();
 
-  // The owner of the pool (poolowner.cpp).
+  // Pings and claims (poolowner.cpp).
   void tick();
   void pingAll();
-  void ping(const Endpoint &To);
+  std::map<Endpoint, std::set<PoolName>> pingsDue() const;
+  void ping(const Endpoint &To, const std::set<PoolName> &About);
   void pinged(const Endpoint &To, Time Sent, const Outcome<Json::Value> &Reply);
   void answerPing(const Json::Value &Params, const Reply &Answer);
-  void answerDrop(const Json::Value &Params, const Reply &Answer);
-  void answerRun(const Json::Value &Params, const Reply &Answer);
-  /// Takes and returns the claim that a message carries.
-  OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
-  /// Settles with another owner which of the two goes on.
-  void meetOwner(const Json::Value &From, const OwnerClaim &Word,
-                 const Endpoint &Speaker);
-  void pingEntries();
-  void followOwner();
-  void dropSilentOrigins(Time Now);
+  void takePools(const Json::Value &From, const Endpoint &Speaker);
+  void tellCandidates(const PoolMember &Of);
+  void followOwners();
+  void dropSilentOrigins(Scheduler &Of, Time Now);
   /// Takes this entry's own stamp that a message of \p From brings back.
   void noteEcho(const Endpoint &From, const Json::Value &Params);
   /// Whether \p Owner can tell from the next message that it is heard here.
   bool hasFreshEcho(const Endpoint &Owner) const;
-  Json::Value writeClaim() const;
+  PoolMember *findPool(const PoolName &Name) const;
+  PoolMember *poolOfMessage(const Json::Value &Params) const;
+
+  // An owner's work for other entries (poolowner.cpp).
+  void answerDrop(const Json::Value &Params, const Reply &Answer);
+  void answerRun(const Json::Value &Params, const Reply &Answer);
+
+  // Which pool a job goes to (poolchoice.cpp).
+  PoolMember *choosePool(const Job &Wanted) const;
+  std::vector<PoolMember *> poolsToWeigh(const Job &Wanted) const;
 
   // Transient jobs of this entry's callers (entryjobs.cpp).
   void dispatch(const AskPtr &What);
-  void sendToOwner(const AskPtr &What);
+  PoolMember *poolFor(const AskPtr &What);
+  void runHere(const AskPtr &What, PoolMember &In);
+  void sendToOwner(const AskPtr &What, PoolMember &In);
   void answered(const AskPtr &What, std::uint64_t Attempt, const Endpoint &From,
                 const Outcome<Json::Value> &Result);
   void finish(const AskPtr &Asked, const JobAnswer &Answer);
   void abandon(const AskPtr &What);
   void park(const AskPtr &What);
   void redispatchParked();
+  void redispatch(const AskPtr &What);
 
   const EntryNeeds Needs_;
   const Endpoint Self_;
+  const DataCentreId DataCentre_;
   const RoutingReader Reader_;
   const LeaseSettings Lease_;
   JobGateway Control_;
 
   Routing Routing_;
   ConfigVersion RoutingFrom_;
-  WorkerDirectory Directory_;
+  PoolPlan Plan_ = PoolPlan::One;
   /// Which list of workers this entry has: of which leader's term, and how many
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
   std::uint64_t WorkersChange_ = 0;
+  /// In which pool each worker is.
+  std::map<WorkerId, PoolName> WorkerPools_;
   /// Entries, and when the leader last named each.
-  std::map<Endpoint, Time> Entries_;
+  std::map<EntryPlace, Time> Entries_;
   /// The leader of the log schedules itself, transient jobs too.
   bool ControlSchedules_ = false;
 
-  PoolView View_;
+  Pools Pools_;
+  bool Stopping_ = false;
+  /// Counts the rounds of pings; some peers are pinged in every second only.
+  std::uint64_t PingRound_ = 0;
   std::set<Endpoint> PingsUnderWay_;
   /// The clock of an entry in its last answer, to be sent back to it.
   struct Echo {
@@ -124,11 +141,6 @@
   std::map<Endpoint, Echo> Echoes_;
   /// Of an owner: until when each entry has certainly heard it.
   std::map<Endpoint, Time> Contacts_;
-  const JobStore NoDurableJobs_;
-  /// Of the owner.
-  std::unique_ptr<Scheduler> Scheduler_;
-  /// The claim went up because another owner was met, which lets go.
-  bool MetOther_ = false;
 
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -6,6 +6,9 @@
 
 #include "framework/log/log.h"
 #include "jobs/internal/entryjobs.h"
+#include "jobs/internal/jobmessages.h"
+
+#include <algorithm>
 
 namespace geraniumbay::jobs {
 
@@ -26,16 +29,23 @@
 Json::Value EntryJobs::askControl() const {
   Json::Value Params(Json::objectValue);
   Params["entry"] = Self_.text();
+  Params["data_centre"] = DataCentre_.value();
   Params["configuration"] = Json::UInt64(RoutingFrom_.value());
   Params["workers_of"] = Json::UInt64(WorkersOf_);
   Params["workers_change"] = Json::UInt64(WorkersChange_);
+  // Entries of other data centres hear of a pool's owner from control.
+  for (const auto &[Name, In] : Pools_)
+    if (Plan_ == PoolPlan::ByRack && In->scheduler())
+      Params["owned"][Name.value()] = In->writeClaim();
   return Params;
 }
 
 void EntryJobs::takeControl(const Json::Value &Result) {
   takeDocument(Result);
-  takeWorkers(Result);
   takeEntryList(Result);
+  takePlan(Result);
+  takeWorkers(Result);
+  takeOwners(Result);
   if (Result["ready"].isBool() && Result["ready"].asBool())
     ControlSchedules_ =
         Result["schedules"].isBool() && Result["schedules"].asBool();
@@ -56,19 +66,68 @@
   RoutingFrom_ = Version;
 }
 
+void EntryJobs::takePlan(const Json::Value &Result) {
+  bool ByRack = Result["by_rack"].isBool() && Result["by_rack"].asBool();
+  if (!ByRack || Plan_ == PoolPlan::ByRack)
+    return;
+  logEvent(LogLevel::Info, Module, "pools_by_rack",
+           {{"workers", WorkerPools_.size()}});
+  Plan_ = PoolPlan::ByRack;
+  // What the pool of all has running is given up; its jobs are answered as
+  // unknown. It happens before traffic, or once in the life of a deployment.
+  Pools Gone = std::move(Pools_);
+  Pools_.clear();
+  for (const auto &[Name, Old] : Gone)
+    for (const auto &[Id, Known] : Old->directory().Workers) {
+      PoolName New = poolOf(Plan_, Known.Info);
+      announce(memberOf(New, Known.Info.DataCentre).directory(), Known.Info,
+               Known.Heard);
+      WorkerPools_[Id] = New;
+    }
+}
+
+PoolMember &EntryJobs::memberOf(const PoolName &Name,
+                                const DataCentreId &DataCentre) {
+  std::unique_ptr<PoolMember> &Place = Pools_[Name];
+  if (Place)
+    return *Place;
+  PoolMemberNeeds Needs{Needs_.Workers, Needs_.Clock, Needs_.Timers,
+                        Needs_.Measured, Lease_};
+  Place = std::make_unique<PoolMember>(Needs, Name, DataCentre, Self_);
+  Place->view().Stopping = Stopping_;
+  rankCandidates();
+  return *Place;
+}
+
 void EntryJobs::takeWorkers(const Json::Value &Result) {
   if (!Result["workers"].isArray())
     return;
   WorkersOf_ = numberOr(Result, "workers_of", 0);
   WorkersChange_ = numberOr(Result, "workers_change", 0);
   Time Now = Needs_.Clock.now();
+  std::set<PoolMember *> Changed;
   for (const Json::Value &Each : Result["workers"]) {
     auto Info = attempt([&] { return readWorker(Each); });
-    if (Info)
-      announce(Directory_, *Info, Now);
+    if (!Info)
+      continue;
+    PoolName Name = poolOf(Plan_, *Info);
+    PoolMember &In = memberOf(Name, Info->DataCentre);
+    announce(In.directory(), *Info, Now);
+    WorkerPools_[Info->Worker] = Name;
+    Changed.insert(&In);
   }
-  if (Scheduler_)
-    Scheduler_->takeWorkers(Directory_);
+  for (const Json::Value &Each : Result["removed"]) {
+    auto Found = WorkerPools_.find(WorkerId(Each.asString()));
+    PoolMember *In =
+        Found == WorkerPools_.end() ? nullptr : findPool(Found->second);
+    if (!In)
+      continue;
+    removeWorker(In->directory(), Found->first);
+    Changed.insert(In);
+    WorkerPools_.erase(Found);
+  }
+  for (PoolMember *In : Changed)
+    In->workersChanged();
 }
 
 void EntryJobs::takeEntryList(const Json::Value &Result) {
@@ -76,17 +135,55 @@
     return;
   Time Now = Needs_.Clock.now();
   for (const Json::Value &Each : Result["entries"]) {
-    auto At = attempt([&] { return parseEndpoint(Each.asString()); });
-    if (At)
-      Entries_[*At] = Now;
+    auto At = attempt([&] { return wire::readEndpoint(Each, "at"); });
+    auto Where = attempt([&] { return json::readString(Each, "data_centre"); });
+    if (At && Where)
+      Entries_[{*At, DataCentreId(*Where)}] = Now;
   }
   std::erase_if(Entries_, [&](const auto &Entry) {
     return Now - Entry.second >= EntrySilence;
   });
-  std::vector<Endpoint> Known;
-  for (const auto &[At, Named] : Entries_)
-    Known.push_back(At);
-  takeEntries(View_, Known, Now);
+  rankCandidates();
+}
+
+void EntryJobs::rankCandidates() {
+  std::vector<EntryPlace> Known;
+  for (const auto &[Place, Named] : Entries_)
+    Known.push_back(Place);
+  bool Alone = Known.empty();
+  EntryPlace Own{Self_, DataCentre_};
+  if (Entries_.count(Own) == 0)
+    Known.push_back(Own);
+  std::set<Endpoint> Owners;
+  for (const auto &[Name, In] : Pools_)
+    if (In->isOwned())
+      Owners.insert(In->view().Owner.At);
+  // Pools of a data centre are numbered in the order of their names.
+  std::map<DataCentreId, std::size_t> Count;
+  for (auto &[Name, In] : Pools_) {
+    std::vector<Endpoint> Candidates =
+        candidatesFor(Plan_, In->dataCentre(), Known);
+    bool Candidate = std::find(Candidates.begin(), Candidates.end(), Self_) !=
+                     Candidates.end();
+    std::set<Endpoint> Busy = Owners;
+    if (In->isOwned())
+      Busy.erase(In->view().Owner.At);
+    std::size_t Number = Count[In->dataCentre()]++;
+    if (Plan_ == PoolPlan::One)
+      Busy.clear();
+    In->takeCandidates(Alone ? std::vector<Endpoint>()
+                             : ranksFor(Number, Candidates, Busy),
+                       Candidate);
+  }
+}
+
+void EntryJobs::takeOwners(const Json::Value &Result) {
+  const Json::Value &Told = Result["owners"];
+  if (!Told.isObject())
+    return;
+  for (const std::string &Name : Told.getMemberNames())
+    if (PoolMember *In = findPool(PoolName(Name)))
+      In->takeReport(Told[Name]);
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -28,6 +28,8 @@
 /// A new leader names the entries once all have had the time to ask: by a part
 /// of the list several of them would take themselves for the first.
 constexpr Duration EntriesDelay = std::chrono::milliseconds(300);
+/// An owner of a pool says so with every question, several times a second.
+constexpr Duration OwnerWordLasts = std::chrono::seconds(2);
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
 
@@ -184,6 +186,7 @@
   dropSilent(Directory_, Needs_.Clock.now());
   if (Scheduler_)
     Scheduler_->takeWorkers(Directory_);
+  divideIfLarge();
   Needs_.Timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -208,33 +211,75 @@
     Result["document"] = Config.Document;
   }
   if (serves())
-    tellWorkers(Params, Result);
+    tellEntry(Params, Result);
   Answer(std::move(Result));
 }
 
-void JobService::tellWorkers(const Json::Value &Params, Json::Value &Into) {
+void JobService::tellEntry(const Json::Value &Params, Json::Value &Into) {
   Time Now = Needs_.Clock.now();
-  auto From = attempt([&] { return wire::readEndpoint(Params, "entry"); });
-  if (From)
-    Entries_[*From] = Now;
+  auto At = attempt([&] { return wire::readEndpoint(Params, "entry"); });
+  auto Where = attempt([&] { return json::readString(Params, "data_centre"); });
+  if (At && Where)
+    Entries_[{*At, DataCentreId(*Where)}] = Now;
   std::erase_if(Entries_, [&](const auto &Entry) {
     return Now - Entry.second >= EntrySilence;
   });
   if (Now - LeadsSince_ >= EntriesDelay)
-    for (const auto &[At, Heard] : Entries_)
-      Into["entries"].append(At.text());
+    for (const auto &[Place, Heard] : Entries_) {
+      Json::Value Each(Json::objectValue);
+      Each["at"] = Place.At.text();
+      Each["data_centre"] = Place.DataCentre.value();
+      Into["entries"].append(std::move(Each));
+    }
+  Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
+  tellOwners(Params, Into);
+  tellWorkers(Params, Into);
+}
+
+void JobService::tellOwners(const Json::Value &Params, Json::Value &Into) {
+  Time Now = Needs_.Clock.now();
+  const Json::Value &Owned = Params["owned"];
+  if (Owned.isObject())
+    for (const std::string &Name : Owned.getMemberNames())
+      Owners_[PoolName(Name)] = {Owned[Name], Now};
+  std::erase_if(Owners_, [&](const auto &Entry) {
+    return Now - Entry.second.Heard >= OwnerWordLasts;
+  });
+  for (const auto &[Name, Told] : Owners_)
+    Into["owners"][Name.value()] = Told.Claim;
+}
+
+void JobService::tellWorkers(const Json::Value &Params, Json::Value &Into) {
   auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
-  bool Current =
-      Of && Change && *Of == Term_->value() && *Change == Directory_.Changes;
-  if (Current)
+  bool SameTerm = Of && Change && *Of == Term_->value();
+  if (SameTerm && *Change == Directory_.Changes)
     return;
   Into["workers_of"] = Json::UInt64(Term_->value());
   Into["workers_change"] = Json::UInt64(Directory_.Changes);
   Into["workers"] = Json::Value(Json::arrayValue);
-  for (const auto &[Id, Known] : Directory_.Workers)
-    Into["workers"].append(write(Known.Info));
+  DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
+  for (const KnownWorker *Each : News.Changed)
+    Into["workers"].append(write(Each->Info));
+  for (const WorkerId &Each : News.Removed)
+    Into["removed"].append(Each.value());
+}
+
+void JobService::divideIfLarge() {
+  if (!serves() || Dividing_ || Needs_.Store.Plan == PoolPlan::ByRack ||
+      Directory_.Workers.size() <= MaxWorkersOfOnePool)
+    return;
+  Dividing_ = true;
+  JobChanges Changes;
+  Changes.DividesByRacks = true;
+  Needs_.Log.append(wire::writeChanges(Changes), [this](
+                                                     const Outcome<Done> &Was) {
+    Dividing_ = false;
+    logEvent(LogLevel::Info, Module, "divides_by_racks",
+             {{"workers", Directory_.Workers.size()},
+              {"outcome", Was ? "recorded" : errorCodeName(Was.error().Code)}});
+  });
 }
 
 std::optional<QueueMatch> JobService::findPlace(const Json::Value &Params,
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -11,6 +11,7 @@
 #include "framework/rpc/irpcclient.h"
 #include "framework/rpc/irpcserver.h"
 #include "jobs/ijobcontrol.h"
+#include "jobs/internal/pools.h"
 #include "jobs/internal/scheduler.h"
 #include "jobs/routing.h"
 
@@ -65,7 +66,12 @@
   void state(const Json::Value &Params, const Reply &Answer);
   void cancel(const Json::Value &Params, const Reply &Answer);
   void pending(const Json::Value &Params, const Reply &Answer);
+  /// What has changed for the entry that asks.
+  void tellEntry(const Json::Value &Params, Json::Value &Into);
+  void tellOwners(const Json::Value &Params, Json::Value &Into);
   void tellWorkers(const Json::Value &Params, Json::Value &Into);
+  /// Divides the workers by racks once they are too many for one pool.
+  void divideIfLarge();
   void sync(const Json::Value &Params, const Reply &Answer);
   /// Starts to schedule: from the first durable job on, the leader of the log
   /// owns the workers.
@@ -92,7 +98,15 @@
   /// Of a leader with durable jobs.
   std::unique_ptr<Scheduler> Scheduler_;
   /// Entries, and when each was last heard.
-  std::map<Endpoint, Time> Entries_;
+  std::map<EntryPlace, Time> Entries_;
+  /// What the owner of a pool said last, and when.
+  struct OwnerWord {
+    Json::Value Claim;
+    Time Heard;
+  };
+  std::map<PoolName, OwnerWord> Owners_;
+  /// The division by racks is on its way into the log.
+  bool Dividing_ = false;
   WorkerDirectory Directory_;
   Routing Routing_;
   /// The version of the configuration that Routing_ was read from.
--- a/src/jobs/internal/jobstore.cpp
+++ b/src/jobs/internal/jobstore.cpp
@@ -84,6 +84,8 @@
     cancel(Store, Id);
   for (const JobId &Id : Changes.Forgotten)
     Store.Jobs.erase(Id);
+  if (Changes.DividesByRacks)
+    Store.Plan = PoolPlan::ByRack;
 }
 
 const Job *findJob(const JobStore &Store, const JobId &Id) {
--- a/src/jobs/internal/jobwire.cpp
+++ b/src/jobs/internal/jobwire.cpp
@@ -236,6 +236,8 @@
     Result["cancelled"].append(Each.value());
   for (const JobId &Each : Value.Forgotten)
     Result["forgotten"].append(Each.value());
+  if (Value.DividesByRacks)
+    Result["divides_by_racks"] = true;
   return json::write(Result);
 }
 
@@ -248,6 +250,8 @@
                     readList<JobId>(From, "cancelled", readId));
   BOOST_LEAF_ASSIGN(Result.Forgotten,
                     readList<JobId>(From, "forgotten", readId));
+  BOOST_LEAF_ASSIGN(Result.DividesByRacks,
+                    json::readBoolOr(From, "divides_by_racks", false));
   return Result;
 }
 
@@ -258,13 +262,16 @@
     Json::Value &Stored = Jobs.append(write(Each));
     Stored["tasks"] = writeTasks(Each);
   }
+  Result["by_rack"] = Value.Plan == PoolPlan::ByRack;
   return json::write(Result);
 }
 
 RetVal<JobStore> readStore(const std::string &Text) {
   BOOST_LEAF_AUTO(From, json::parse(Text));
   BOOST_LEAF_AUTO(Jobs, readList<Job>(From, "jobs", readStored));
+  BOOST_LEAF_AUTO(ByRack, json::readBoolOr(From, "by_rack", false));
   JobStore Result;
+  Result.Plan = ByRack ? PoolPlan::ByRack : PoolPlan::One;
   for (Job &Each : Jobs)
     Result.Jobs.emplace(Each.Id, Each);
   return Result;
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -47,6 +47,26 @@
 
 } // namespace
 
+PoolLoad Scheduler::load() const {
+  PoolLoad Result;
+  for (const auto &[Id, With] : Sessions_) {
+    if (!With.Known || With.Silent || With.Info.Draining)
+      continue;
+    Result.Capacity += With.Info.Capacity.CpuMillis;
+    Result.Used += With.Used.CpuMillis;
+  }
+  if (Result.Capacity == 0)
+    return Result;
+  for (const auto &[Rank, Task] : Queue_) {
+    std::size_t Class =
+        std::min<std::size_t>(Rank.Priority, Result.Backlog.size() - 1);
+    Result.Backlog[Class] += Task.Estimate * Task.Needs.CpuMillis;
+  }
+  for (Duration &Each : Result.Backlog)
+    Each /= static_cast<Duration::rep>(Result.Capacity);
+  return Result;
+}
+
 void Scheduler::scheduleSoon() {
   if (ScheduleDue_ || Queue_.empty())
     return;
--- /dev/null
+++ b/src/jobs/internal/poolchoice.cpp
@@ -0,0 +1,90 @@
+//===- poolchoice.cpp - Which pool a job goes to --------------------------===//
+//
+// By the owners' words about their room. A pool of this data centre goes before
+// others, which are asked only where it would make the job wait.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/entryjobs.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+/// The way to another data centre and back, with the question whether the
+/// owner there is reached. Also what makes a pool of this one worth keeping.
+constexpr Duration OtherDataCentre = std::chrono::milliseconds(15);
+/// What a pool in full use costs against an empty one: an even use keeps room
+/// for wide jobs everywhere.
+constexpr double FullUseMicros = 10'000;
+/// Pools of each kind that are weighed: two chosen at random spread the load
+/// nearly as well as all, and not all entries rush to the same one.
+constexpr std::size_t Weighed = 2;
+
+/// A number that differs from job to job.
+std::size_t mixOf(const JobId &Id) { return std::hash<JobId>()(Id); }
+
+const StepSpec &firstStep(const Job &Wanted) {
+  return Wanted.Spec.Steps.front();
+}
+
+/// What a task loses away from the rack that holds its data: it takes about
+/// twice as long there.
+Duration lossAwayFromData(const Job &Wanted, const PoolMember &In) {
+  const StepSpec &Step = firstStep(Wanted);
+  if (Step.PreferredRack.empty())
+    return Duration(0);
+  const std::string &Name = In.name().value();
+  bool Holds = Name.size() > Step.PreferredRack.size() &&
+               Name.ends_with("/" + Step.PreferredRack);
+  return Holds ? Duration(0) : Step.Estimate;
+}
+
+} // namespace
+
+std::vector<PoolMember *> EntryJobs::poolsToWeigh(const Job &Wanted) const {
+  std::vector<PoolMember *> Near;
+  std::vector<PoolMember *> Far;
+  std::vector<PoolMember *> Result;
+  for (const auto &[Name, In] : Pools_) {
+    if (!In->expectedWait(Wanted.Priority))
+      continue;
+    if (!firstStep(Wanted).PreferredRack.empty() &&
+        lossAwayFromData(Wanted, *In).count() == 0)
+      Result.push_back(In.get());
+    if (!In->isCandidate())
+      Far.push_back(In.get());
+    else if (In->isOwned())
+      Near.push_back(In.get());
+  }
+  std::size_t Mix = mixOf(Wanted.Id);
+  for (const auto *Group : {&Near, &Far})
+    for (std::size_t I = 0; I < std::min(Weighed, Group->size()); ++I) {
+      Result.push_back((*Group)[Mix % Group->size()]);
+      Mix = Mix / Group->size() + 1;
+    }
+  return Result;
+}
+
+PoolMember *EntryJobs::choosePool(const Job &Wanted) const {
+  if (Plan_ == PoolPlan::One)
+    return findPool(poolOfAll());
+  PoolMember *Best = nullptr;
+  Duration Least{0};
+  for (PoolMember *In : poolsToWeigh(Wanted)) {
+    Duration Cost =
+        *In->expectedWait(Wanted.Priority) + lossAwayFromData(Wanted, *In) +
+        Duration(static_cast<Duration::rep>(FullUseMicros * In->use()));
+    if (!In->isCandidate())
+      Cost += OtherDataCentre;
+    if (Best && Cost >= Least)
+      continue;
+    Best = In;
+    Least = Cost;
+  }
+  return Best;
+}
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/poolmember.cpp
@@ -0,0 +1,226 @@
+//===- poolmember.cpp - An entry's part in one pool -----------------------===//
+//
+// Claims, and the scheduler's beginning and end.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/poolmember.h"
+
+#include "framework/log/log.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+
+/// What an owner said of its load is worth nothing after this time.
+constexpr Duration LoadLasts = std::chrono::seconds(2);
+
+/// How long a new owner leaves alone what runs of unknown jobs, for the entries
+/// to hand these in again. Behind an owner that was silent for long, little
+/// that runs is left; it is stopped at once.
+Duration keepOrphans(const OwnerLoss &Loss) {
+  constexpr Duration Keep = std::chrono::milliseconds(1000);
+  return Loss.LetGo || Loss.Refused ? Keep : Duration(0);
+}
+
+RetVal<OwnerClaim> readClaim(const Json::Value &From, const char *At,
+                             const char *Token) {
+  BOOST_LEAF_AUTO(Number, json::readUintOr(From, Token, 0));
+  if (Number == 0)
+    return OwnerClaim();
+  BOOST_LEAF_AUTO(Text, json::readString(From, At));
+  BOOST_LEAF_AUTO(Address, parseEndpoint(Text));
+  return OwnerClaim{Address, FencingToken(Number)};
+}
+
+/// Core time of all tasks, in thousandths of a core times duration.
+Duration workOf(const JobSpec &Spec) {
+  Duration Work{0};
+  for (const StepSpec &Step : Spec.Steps)
+    Work += Step.Estimate * Step.Count * Step.Needs.CpuMillis;
+  return Work;
+}
+
+} // namespace
+
+PoolMember::PoolMember(PoolMemberNeeds Needs, PoolName Name,
+                       DataCentreId DataCentre, const Endpoint &Self)
+    : Needs_(Needs), Name_(std::move(Name)),
+      DataCentre_(std::move(DataCentre)) {
+  View_.Self = Self;
+}
+
+void PoolMember::takeCandidates(const std::vector<Endpoint> &Ranked,
+                                bool Candidate) {
+  Candidate_ = Candidate;
+  takeEntries(View_, Ranked, Needs_.Clock.now());
+}
+
+bool PoolMember::isOwned() const {
+  return View_.Owner.Token != FencingToken(0) &&
+         isAlive(View_, View_.Owner.At, Needs_.Clock.now());
+}
+
+bool PoolMember::claimIfDue() {
+  if (!Candidate_)
+    return false;
+  auto Claim =
+      jobs::claimIfDue(View_, Needs_.Clock.now(), Needs_.Clock.wallNow());
+  if (!Claim)
+    return false;
+  logEvent(LogLevel::Info, Module, "pool_claimed",
+           {{"pool", Name_},
+            {"token", Claim->Token.value()},
+            {"candidates", View_.Ranked.size()},
+            {"earlier", View_.Earlier.At.text()},
+            {"let_go", earlierOwnerLoss(View_).LetGo}});
+  return true;
+}
+
+bool PoolMember::followOwner(bool Disengaged) {
+  bool Owns = ownsPool(View_) && !Disengaged;
+  bool Raised = Scheduler_ && Owns && Scheduler_->token() != View_.Owner.Token;
+  if (Raised) {
+    logEvent(LogLevel::Info, Module, "pool_token_raised",
+             {{"pool", Name_}, {"token", View_.Owner.Token.value()}});
+    Scheduler_->raiseToken(View_.Owner.Token, MetOther_);
+    MetOther_ = false;
+  }
+  if (Scheduler_ && !Owns) {
+    logEvent(LogLevel::Warning, Module, "pool_let_go",
+             {{"pool", Name_},
+              {"token", Scheduler_->token().value()},
+              {"owner", View_.Owner.At.text()},
+              {"owner_token", View_.Owner.Token.value()}});
+    Scheduler_.reset();
+  }
+  if (Owns && !Scheduler_)
+    startScheduler();
+  return Raised;
+}
+
+void PoolMember::startScheduler() {
+  SchedulerNeeds Needs{[this] { return ownsPool(View_); },
+                       [this](FencingToken Token) {
+                         noteFenced(View_, Token, Needs_.Clock.now());
+                       },
+                       nullptr,
+                       NoDurableJobs_,
+                       Needs_.Workers,
+                       Needs_.Clock,
+                       Needs_.Timers,
+                       Needs_.Measured};
+  LeaseSettings Lease = Needs_.Lease;
+  OwnerLoss Loss = earlierOwnerLoss(View_);
+  Lease.EarlierOwner = Loss.LetGo ? Duration(0) : OwnerSilence;
+  Lease.KeepOrphans = keepOrphans(Loss);
+  Lease.RenewOrphans = Loss.LetGo;
+  Scheduler_ =
+      std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
+  Scheduler_->takeWorkers(Directory_);
+}
+
+void PoolMember::workersChanged() {
+  if (Scheduler_)
+    Scheduler_->takeWorkers(Directory_);
+}
+
+Json::Value PoolMember::writeClaim() const {
+  Json::Value Result(Json::objectValue);
+  Result["owner"] = View_.Owner.At.text();
+  Result["token"] = Json::UInt64(View_.Owner.Token.value());
+  Result["highest"] = Json::UInt64(View_.Highest.value());
+  if (Scheduler_ && ownsPool(View_)) {
+    Result["workers"] = Json::UInt64(Scheduler_->workers());
+    Result["load"] = write(Scheduler_->load());
+  }
+  if (View_.Rival.Token != FencingToken(0)) {
+    Result["rival"] = View_.Rival.At.text();
+    Result["rival_token"] = Json::UInt64(View_.Rival.Token.value());
+  }
+  return Result;
+}
+
+OwnerClaim PoolMember::takeClaim(const Json::Value &From,
+                                 const Endpoint &Speaker) {
+  auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
+  if (Highest)
+    noteHighest(View_, FencingToken(*Highest));
+  auto Rival = attempt([&] { return readClaim(From, "rival", "rival_token"); });
+  if (Rival)
+    noteClaim(View_, *Rival, Endpoint(), Needs_.Clock.now());
+  auto Claim = attempt([&] { return readClaim(From, "owner", "token"); });
+  if (Claim && noteClaim(View_, *Claim, Speaker, Needs_.Clock.now()))
+    logEvent(LogLevel::Info, Module, "pool_owner",
+             {{"pool", Name_},
+              {"owner", Claim->At.text()},
+              {"token", Claim->Token.value()}});
+  return Claim ? *Claim : OwnerClaim();
+}
+
+void PoolMember::takeWord(const Json::Value &From, const Endpoint &Speaker) {
+  OwnerClaim Word = takeClaim(From, Speaker);
+  noteOwnWord(View_, Speaker, Word);
+  meetOwner(From, Word, Speaker);
+  if (Speaker == View_.Owner.At)
+    takeLoad(From);
+}
+
+void PoolMember::takeReport(const Json::Value &From) {
+  if (Candidate_)
+    return;
+  takeClaim(From, Endpoint());
+  takeLoad(From);
+}
+
+void PoolMember::takeLoad(const Json::Value &From) {
+  if (!From["load"].isObject())
+    return;
+  Load_ = readPoolLoad(From["load"]);
+  LoadTold_ = Needs_.Clock.now();
+  SentSince_ = Duration(0);
+}
+
+void PoolMember::meetOwner(const Json::Value &From, const OwnerClaim &Word,
+                           const Endpoint &Speaker) {
+  if (Word.At != Speaker || Word.Token == FencingToken(0) || !Scheduler_ ||
+      !ownsPool(View_) || !From["workers"].isUInt64())
+    return;
+  std::uint64_t Own = Scheduler_->workers();
+  std::uint64_t Others = From["workers"].asUInt64();
+  bool Changed = meetRival(View_, Word, Own, Others, Needs_.Clock.now(),
+                           Needs_.Clock.wallNow());
+  MetOther_ = MetOther_ || Changed;
+  if (Changed)
+    logEvent(LogLevel::Info, Module, "pool_owners_met",
+             {{"pool", Name_},
+              {"other", Speaker.text()},
+              {"workers", Own},
+              {"others_workers", Others},
+              {"owner", View_.Owner.At.text()}});
+}
+
+std::optional<Duration> PoolMember::expectedWait(std::uint32_t Priority) const {
+  if (Scheduler_)
+    return jobs::expectedWait(Scheduler_->load(), Priority);
+  if (!LoadTold_ || Needs_.Clock.now() - *LoadTold_ >= LoadLasts ||
+      Load_.Capacity == 0)
+    return std::nullopt;
+  auto Capacity = static_cast<Duration::rep>(Load_.Capacity);
+  return jobs::expectedWait(Load_, Priority) + SentSince_ / Capacity;
+}
+
+double PoolMember::use() const {
+  PoolLoad Now = Scheduler_ ? Scheduler_->load() : Load_;
+  if (Now.Capacity == 0)
+    return 1.0;
+  return static_cast<double>(Now.Used) / static_cast<double>(Now.Capacity);
+}
+
+void PoolMember::noteSent(const Job &Sent) { SentSince_ += workOf(Sent.Spec); }
+
+} // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/poolmember.h
@@ -0,0 +1,98 @@
+//===- poolmember.h - An entry's part in one pool ---------------*- C++ -*-===//
+//
+// What an entry believes of one pool, and the scheduler while it owns it. The
+// entry carries the messages; this class reads and writes the claims in them.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_INTERNAL_POOLMEMBER_H
+#define GERANIUMBAY_JOBS_INTERNAL_POOLMEMBER_H
+
+#include "jobs/internal/pools.h"
+#include "jobs/internal/poolview.h"
+#include "jobs/internal/scheduler.h"
+
+namespace geraniumbay::jobs {
+
+/// What a member works with; all of it outlives the member.
+struct PoolMemberNeeds {
+  IWorkerCalls &Workers;
+  const IClock &Clock;
+  ITimers &Timers;
+  Metrics &Measured;
+  LeaseSettings Lease;
+};
+
+class PoolMember {
+public:
+  PoolMember(PoolMemberNeeds Needs, PoolName Name, DataCentreId DataCentre,
+             const Endpoint &Self);
+
+  const PoolName &name() const { return Name_; }
+  const DataCentreId &dataCentre() const { return DataCentre_; }
+  PoolView &view() { return View_; }
+  const PoolView &view() const { return View_; }
+  /// Null unless this entry owns the pool.
+  Scheduler *scheduler() { return Scheduler_.get(); }
+  const Scheduler *scheduler() const { return Scheduler_.get(); }
+  WorkerDirectory &directory() { return Directory_; }
+
+  /// Whether this entry may own the pool.
+  bool isCandidate() const { return Candidate_; }
+  /// Takes those who may own the pool, by rank. An empty list means that none
+  /// is known.
+  void takeCandidates(const std::vector<Endpoint> &Ranked, bool Candidate);
+  /// The pool has an owner that was heard lately.
+  bool isOwned() const;
+
+  /// Claims the pool if it is this entry's turn; returns whether it did.
+  bool claimIfDue();
+  /// Starts or ends the scheduler as the view says; with \p Disengaged there is
+  /// none. Returns whether the other candidates must hear of it at once.
+  bool followOwner(bool Disengaged);
+  /// Hands the directory to the scheduler.
+  void workersChanged();
+
+  Json::Value writeClaim() const;
+  /// Takes and returns the claim that a message of \p Speaker carries.
+  OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
+  /// Takes all that a peer's own message says about the pool.
+  void takeWord(const Json::Value &From, const Endpoint &Speaker);
+  /// Takes what control says of the pool's owner, where this entry does not
+  /// hear it itself.
+  void takeReport(const Json::Value &From);
+
+  /// How long a job of \p Priority may wait here, what was sent since the
+  /// owner's last word included. Nothing if the owner has not told.
+  std::optional<Duration> expectedWait(std::uint32_t Priority) const;
+  /// How much of the pool is in use, of 1.
+  double use() const;
+  /// Notes that work was sent to the owner.
+  void noteSent(const Job &Sent);
+
+private:
+  void meetOwner(const Json::Value &From, const OwnerClaim &Word,
+                 const Endpoint &Speaker);
+  void takeLoad(const Json::Value &From);
+  void startScheduler();
+
+  const PoolMemberNeeds Needs_;
+  const PoolName Name_;
+  const DataCentreId DataCentre_;
+  PoolView View_;
+  bool Candidate_ = false;
+  WorkerDirectory Directory_;
+  const JobStore NoDurableJobs_;
+  std::unique_ptr<Scheduler> Scheduler_;
+  /// The claim went up because another owner was met, which lets go.
+  bool MetOther_ = false;
+  /// The owner's last word.
+  PoolLoad Load_;
+  std::optional<Time> LoadTold_;
+  /// Core time that was sent since, in thousandths of a core times duration.
+  Duration SentSince_{0};
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_INTERNAL_POOLMEMBER_H
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -5,11 +5,13 @@
 //===----------------------------------------------------------------------===//
 
 #include "framework/log/log.h"
-#include "jobs/internal/entryjobs.h"
+#include "jobs/internal/entryask.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobwire.h"
 #include "jobs/internal/submission.h"
 
+#include <algorithm>
+
 namespace geraniumbay::jobs {
 
 namespace {
@@ -23,24 +25,6 @@
   return static_cast<std::uint64_t>(At.time_since_epoch().count());
 }
 
-/// How long a new owner leaves alone what runs of unknown jobs, for the entries
-/// to hand these in again. Behind an owner that was silent for long, little
-/// that runs is left; it is stopped at once.
-Duration keepOrphans(const OwnerLoss &Loss) {
-  constexpr Duration Keep = std::chrono::milliseconds(1000);
-  return Loss.LetGo || Loss.Refused ? Keep : Duration(0);
-}
-
-RetVal<OwnerClaim> readClaim(const Json::Value &From, const char *At,
-                             const char *Token) {
-  BOOST_LEAF_AUTO(Number, json::readUintOr(From, Token, 0));
-  if (Number == 0)
-    return OwnerClaim();
-  BOOST_LEAF_AUTO(Text, json::readString(From, At));
-  BOOST_LEAF_AUTO(Address, parseEndpoint(Text));
-  return OwnerClaim{Address, FencingToken(Number)};
-}
-
 std::uint64_t serialOf(const Json::Value &From) {
   return From["serial"].isUInt64() ? From["serial"].asUInt64() : 0;
 }
@@ -53,140 +37,71 @@
 
 void EntryJobs::tick() {
   Time Now = Needs_.Clock.now();
-  if (!ControlSchedules_) {
-    auto Claim = claimIfDue(View_, Now, Needs_.Clock.wallNow());
-    if (Claim) {
-      logEvent(LogLevel::Info, Module, "pool_claimed",
-               {{"token", Claim->Token.value()},
-                {"entries", View_.Ranked.size()},
-                {"earlier", View_.Earlier.At.text()},
-                {"let_go", earlierOwnerLoss(View_).LetGo}});
-      pingEntries();
-    }
-  }
-  followOwner();
-  dropSilentOrigins(Now);
+  for (auto &[Name, In] : Pools_)
+    if (!ControlSchedules_ && In->claimIfDue())
+      tellCandidates(*In);
+  followOwners();
+  for (auto &[Name, In] : Pools_)
+    if (In->scheduler())
+      dropSilentOrigins(*In->scheduler(), Now);
   redispatchParked();
   Needs_.Timers.after(TickInterval, [this] { tick(); });
 }
 
-void EntryJobs::followOwner() {
-  bool Owns = ownsPool(View_) && !ControlSchedules_;
-  if (Scheduler_ && Owns && Scheduler_->token() != View_.Owner.Token) {
-    logEvent(LogLevel::Info, Module, "pool_token_raised",
-             {{"token", View_.Owner.Token.value()}});
-    Scheduler_->raiseToken(View_.Owner.Token, MetOther_);
-    MetOther_ = false;
-    pingEntries();
-  }
-  if (Scheduler_ && !Owns) {
-    logEvent(LogLevel::Warning, Module, "pool_let_go",
-             {{"token", Scheduler_->token().value()},
-              {"owner", View_.Owner.At.text()},
-              {"owner_token", View_.Owner.Token.value()}});
-    Scheduler_.reset();
-  }
-  if (!Owns || Scheduler_)
-    return;
-  SchedulerNeeds Needs{[this] { return ownsPool(View_); },
-                       [this](FencingToken Token) {
-                         noteFenced(View_, Token, Needs_.Clock.now());
-                       },
-                       nullptr,
-                       NoDurableJobs_,
-                       Needs_.Workers,
-                       Needs_.Clock,
-                       Needs_.Timers,
-                       Needs_.Measured};
-  LeaseSettings Lease = Lease_;
-  OwnerLoss Loss = earlierOwnerLoss(View_);
-  Lease.EarlierOwner = Loss.LetGo ? Duration(0) : OwnerSilence;
-  Lease.KeepOrphans = keepOrphans(Loss);
-  Lease.RenewOrphans = Loss.LetGo;
-  Scheduler_ =
-      std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
-  Scheduler_->takeWorkers(Directory_);
+void EntryJobs::followOwners() {
+  for (auto &[Name, In] : Pools_)
+    if (In->followOwner(ControlSchedules_))
+      tellCandidates(*In);
 }
 
-void EntryJobs::dropSilentOrigins(Time Now) {
-  if (!Scheduler_)
-    return;
-  for (const Endpoint &Origin : Scheduler_->origins()) {
+void EntryJobs::dropSilentOrigins(Scheduler &Of, Time Now) {
+  for (const Endpoint &Origin : Of.origins()) {
     if (Origin == Self_ || Now - Contacts_[Origin] < OwnerSilence)
       continue;
     logEvent(LogLevel::Warning, Module, "entry_silent",
              {{"entry", Origin.text()}});
-    Scheduler_->dropOrigin(Origin);
+    Of.dropOrigin(Origin);
   }
 }
 
+std::map<Endpoint, std::set<PoolName>> EntryJobs::pingsDue() const {
+  Time Now = Needs_.Clock.now();
+  std::map<Endpoint, std::set<PoolName>> Due;
+  for (const auto &[Name, In] : Pools_)
+    if (In->isCandidate())
+      for (const Endpoint &To : pingTargets(In->view(), Now))
+        Due[To].insert(Name);
+  // An owner elsewhere must hear that it is heard while it has jobs from here.
+  for (const AskPtr &What : Asks_)
+    if (What->SentTo && What->SentTo->At != Self_)
+      Due[What->SentTo->At].insert(What->Pool);
+  return Due;
+}
+
 void EntryJobs::pingAll() {
-  for (const Endpoint &To : pingTargets(View_, Needs_.Clock.now()))
-    ping(To);
+  rankCandidates();
+  for (const auto &[To, About] : pingsDue())
+    ping(To, About);
   Needs_.Timers.after(PingInterval, [this] { pingAll(); });
 }
 
-void EntryJobs::pingEntries() {
+void EntryJobs::tellCandidates(const PoolMember &Of) {
   // All hear of the claim at once, so that they hand their jobs in again.
-  for (const Endpoint &Entry : View_.Ranked)
+  for (const Endpoint &Entry : Of.view().Ranked)
     if (Entry != Self_)
-      ping(Entry);
-}
-
-void EntryJobs::meetOwner(const Json::Value &From, const OwnerClaim &Word,
-                          const Endpoint &Speaker) {
-  if (Word.At != Speaker || Word.Token == FencingToken(0) || !Scheduler_ ||
-      !ownsPool(View_) || !From["workers"].isUInt64())
-    return;
-  std::uint64_t Own = Scheduler_->workers();
-  std::uint64_t Others = From["workers"].asUInt64();
-  bool Changed = meetRival(View_, Word, Own, Others, Needs_.Clock.now(),
-                           Needs_.Clock.wallNow());
-  MetOther_ = MetOther_ || Changed;
-  if (Changed)
-    logEvent(LogLevel::Info, Module, "pool_owners_met",
-             {{"other", Speaker.text()},
-              {"workers", Own},
-              {"others_workers", Others},
-              {"owner", View_.Owner.At.text()}});
+      ping(Entry, {Of.name()});
 }
 
-Json::Value EntryJobs::writeClaim() const {
-  Json::Value Result(Json::objectValue);
-  Result["owner"] = View_.Owner.At.text();
-  Result["token"] = Json::UInt64(View_.Owner.Token.value());
-  Result["highest"] = Json::UInt64(View_.Highest.value());
-  if (Scheduler_ && ownsPool(View_))
-    Result["workers"] = Json::UInt64(Scheduler_->workers());
-  if (View_.Rival.Token != FencingToken(0)) {
-    Result["rival"] = View_.Rival.At.text();
-    Result["rival_token"] = Json::UInt64(View_.Rival.Token.value());
-  }
-  return Result;
-}
-
-OwnerClaim EntryJobs::takeClaim(const Json::Value &From,
-                                const Endpoint &Speaker) {
-  auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
-  if (Highest)
-    noteHighest(View_, FencingToken(*Highest));
-  auto Rival = attempt([&] { return readClaim(From, "rival", "rival_token"); });
-  if (Rival)
-    noteClaim(View_, *Rival, Endpoint(), Needs_.Clock.now());
-  auto Claim = attempt([&] { return readClaim(From, "owner", "token"); });
-  if (Claim && noteClaim(View_, *Claim, Speaker, Needs_.Clock.now()))
-    logEvent(LogLevel::Info, Module, "pool_owner",
-             {{"owner", Claim->At.text()}, {"token", Claim->Token.value()}});
-  return Claim ? *Claim : OwnerClaim();
-}
-
-void EntryJobs::ping(const Endpoint &To) {
+void EntryJobs::ping(const Endpoint &To, const std::set<PoolName> &About) {
   if (!PingsUnderWay_.insert(To).second)
     return;
-  Json::Value Params = writeClaim();
+  Json::Value Params(Json::objectValue);
+  for (const PoolName &Name : About)
+    if (const PoolMember *In = findPool(Name))
+      Params["pools"][Name.value()] = In->writeClaim();
   Params["from"] = Self_.text();
   Params["echo_us"] = Json::UInt64(Echoes_[To].Stamp);
-  Params["stopping"] = View_.Stopping;
+  Params["stopping"] = Stopping_;
   Needs_.Client.call(
       To, wire::method::Ping, std::move(Params), PingTimeout,
       [this, To, Sent = Needs_.Clock.now()](
@@ -201,19 +116,32 @@
     // listens there. A late one is a connection that never came about.
     bool AtOnce = Needs_.Clock.now() - Sent < PingTimeout;
     if (Result.error().Code == ErrorCode::Refused && AtOnce)
-      noteRefused(View_, To, Needs_.Clock.now());
+      for (auto &[Name, In] : Pools_)
+        noteRefused(In->view(), To, Needs_.Clock.now());
     return;
   }
-  noteAnswer(View_, To, flag(*Result, "stopping"), Sent);
+  for (auto &[Name, In] : Pools_)
+    noteAnswer(In->view(), To, flag(*Result, "stopping"), Sent);
   if ((*Result)["stamp_us"].isUInt64())
     Echoes_[To] = {(*Result)["stamp_us"].asUInt64(), Sent};
-  OwnerClaim Word = takeClaim(*Result, To);
-  noteOwnWord(View_, To, Word);
-  meetOwner(*Result, Word, To);
-  if (To == View_.Owner.At)
+  takePools(*Result, To);
+  bool Owner =
+      std::any_of(Pools_.begin(), Pools_.end(), [&](const auto &Entry) {
+        return Entry.second->view().Owner.At == To;
+      });
+  if (Owner)
     redispatchParked();
 }
 
+void EntryJobs::takePools(const Json::Value &From, const Endpoint &Speaker) {
+  const Json::Value &Told = From["pools"];
+  if (!Told.isObject())
+    return;
+  for (const std::string &Name : Told.getMemberNames())
+    if (PoolMember *In = findPool(PoolName(Name)))
+      In->takeWord(Told[Name], Speaker);
+}
+
 void EntryJobs::noteEcho(const Endpoint &From, const Json::Value &Params) {
   // The echo is this entry's own clock; one from before its start means
   // nothing, and one from the future is none of its own.
@@ -231,20 +159,34 @@
          Needs_.Clock.now() - Found->second.Taken < OwnerSilence;
 }
 
+PoolMember *EntryJobs::findPool(const PoolName &Name) const {
+  auto Found = Pools_.find(Name);
+  return Found == Pools_.end() ? nullptr : Found->second.get();
+}
+
+PoolMember *EntryJobs::poolOfMessage(const Json::Value &Params) const {
+  auto Name = attempt([&] { return json::readString(Params, "pool"); });
+  return Name ? findPool(PoolName(*Name)) : nullptr;
+}
+
 void EntryJobs::answerPing(const Json::Value &Params, const Reply &Answer) {
   auto From = attempt([&] { return wire::readEndpoint(Params, "from"); });
   if (!From)
     return Answer(From.error());
-  noteHeard(View_, *From, Needs_.Clock.now());
-  OwnerClaim Word = takeClaim(Params, *From);
-  noteOwnWord(View_, *From, Word);
-  meetOwner(Params, Word, *From);
-  if (flag(Params, "stopping"))
-    noteStopping(View_, *From);
+  for (auto &[Name, In] : Pools_) {
+    noteHeard(In->view(), *From, Needs_.Clock.now());
+    if (flag(Params, "stopping"))
+      noteStopping(In->view(), *From);
+  }
+  takePools(Params, *From);
   noteEcho(*From, Params);
-  Json::Value Result = writeClaim();
+  Json::Value Result(Json::objectValue);
+  if (Params["pools"].isObject())
+    for (const std::string &Name : Params["pools"].getMemberNames())
+      if (const PoolMember *In = findPool(PoolName(Name)))
+        Result["pools"][Name] = In->writeClaim();
   Result["stamp_us"] = Json::UInt64(stampOf(Needs_.Clock.now()));
-  Result["stopping"] = View_.Stopping;
+  Result["stopping"] = Stopping_;
   Answer(std::move(Result));
 }
 
@@ -253,8 +195,9 @@
   auto Origin = attempt([&] { return wire::readEndpoint(Params, "origin"); });
   if (!Job || !Origin)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
-  if (Scheduler_)
-    Scheduler_->dropWaiter(JobId(*Job), {*Origin, serialOf(Params)});
+  PoolMember *In = poolOfMessage(Params);
+  if (In && In->scheduler())
+    In->scheduler()->dropWaiter(JobId(*Job), {*Origin, serialOf(Params)});
   Answer(Json::Value(Json::objectValue));
 }
 
@@ -264,24 +207,25 @@
   auto Left = attempt([&] { return json::readUint(Params, "left_us"); });
   if (!Wanted || !Origin || !Left)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
-  auto NotOwner = [this](bool MaybeTaken) {
-    Json::Value Result = writeClaim();
+  auto NotOwner = [this](const PoolMember *In, bool MaybeTaken) {
+    Json::Value Result = In ? In->writeClaim() : Json::Value(Json::objectValue);
     Result["not_owner"] = true;
     if (MaybeTaken)
       Result["maybe_taken"] = true;
     return Result;
   };
-  if (!Scheduler_ || !ownsPool(View_))
-    return Answer(NotOwner(false));
+  PoolMember *In = poolOfMessage(Params);
+  if (!In || !In->scheduler() || !ownsPool(In->view()))
+    return Answer(NotOwner(In, false));
   noteEcho(*Origin, Params);
-  Scheduler_->run(std::move(*Wanted),
-                  Duration(static_cast<Duration::rep>(*Left)),
-                  {*Origin, serialOf(Params)}, flag(Params, "maybe_taken"),
-                  [Answer, NotOwner](const Outcome<JobState> &Ended) {
-                    if (Ended)
-                      return Answer(wire::write(answerOfEnd(*Ended)));
-                    Answer(NotOwner(true));
-                  });
+  In->scheduler()->run(std::move(*Wanted),
+                       Duration(static_cast<Duration::rep>(*Left)),
+                       {*Origin, serialOf(Params)}, flag(Params, "maybe_taken"),
+                       [Answer, NotOwner, In](const Outcome<JobState> &Ended) {
+                         if (Ended)
+                           return Answer(wire::write(answerOfEnd(*Ended)));
+                         Answer(NotOwner(In, true));
+                       });
 }
 
 } // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/jobs/internal/pools.cpp
@@ -0,0 +1,100 @@
+//===- pools.cpp - How the workers are divided into pools -----------------===//
+//
+// Names, candidates, ranks and loads.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/pools.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr std::uint64_t Percent = 100;
+/// Above this use a new task may have to wait for an end.
+constexpr std::uint64_t FullPercent = 85;
+/// What it waits in the mean then: 50 slots with tasks of some hundred
+/// milliseconds free one in a few.
+constexpr Duration WaitOfFull = std::chrono::milliseconds(10);
+
+std::uint64_t numberOf(const Json::Value &From, const char *Name) {
+  return From.isObject() && From[Name].isUInt64() ? From[Name].asUInt64() : 0;
+}
+
+} // namespace
+
+const PoolName &poolOfAll() {
+  static const PoolName All("all");
+  return All;
+}
+
+PoolName poolOf(PoolPlan Plan, const WorkerInfo &Worker) {
+  if (Plan == PoolPlan::One)
+    return poolOfAll();
+  return PoolName(Worker.DataCentre.value() + "/" + Worker.Rack);
+}
+
+std::vector<Endpoint> candidatesFor(PoolPlan Plan,
+                                    const DataCentreId &DataCentre,
+                                    const std::vector<EntryPlace> &Entries) {
+  std::vector<Endpoint> All;
+  std::vector<Endpoint> Near;
+  for (const EntryPlace &Each : Entries) {
+    All.push_back(Each.At);
+    if (Each.DataCentre == DataCentre)
+      Near.push_back(Each.At);
+  }
+  std::vector<Endpoint> &Result =
+      Plan == PoolPlan::One || Near.empty() ? All : Near;
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+std::vector<Endpoint> ranksFor(std::size_t Number,
+                               std::vector<Endpoint> Candidates,
+                               const std::set<Endpoint> &Busy) {
+  if (Candidates.empty())
+    return Candidates;
+  auto First = static_cast<std::ptrdiff_t>(Number % Candidates.size());
+  std::rotate(Candidates.begin(), Candidates.begin() + First, Candidates.end());
+  std::stable_partition(
+      Candidates.begin(), Candidates.end(),
+      [&](const Endpoint &Each) { return Busy.count(Each) == 0; });
+  return Candidates;
+}
+
+Duration expectedWait(const PoolLoad &Load, std::uint32_t Priority) {
+  Duration Wait{0};
+  for (std::size_t I = 0; I < Load.Backlog.size() && I <= Priority; ++I)
+    Wait += Load.Backlog[I];
+  if (Load.Used * Percent >= Load.Capacity * FullPercent)
+    Wait += WaitOfFull;
+  return Wait;
+}
+
+Json::Value write(const PoolLoad &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["capacity"] = Json::UInt64(Value.Capacity);
+  Result["used"] = Json::UInt64(Value.Used);
+  for (const Duration &Each : Value.Backlog)
+    Result["backlog_us"].append(Json::Int64(Each.count()));
+  return Result;
+}
+
+PoolLoad readPoolLoad(const Json::Value &From) {
+  PoolLoad Result;
+  Result.Capacity = numberOf(From, "capacity");
+  Result.Used = numberOf(From, "used");
+  if (!From.isObject() || !From["backlog_us"].isArray())
+    return Result;
+  const Json::Value &Backlog = From["backlog_us"];
+  for (Json::ArrayIndex I = 0; I < Backlog.size() && I < Result.Backlog.size();
+       ++I)
+    if (Backlog[I].isInt64())
+      Result.Backlog[I] = Duration(Backlog[I].asInt64());
+  return Result;
+}
+
+} // namespace geraniumbay::jobs
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -86,7 +86,6 @@
     View.PeersSince = Now;
   if (std::find(Entries.begin(), Entries.end(), View.Self) == Entries.end())
     View.Ranked.push_back(View.Self);
-  std::sort(View.Ranked.begin(), View.Ranked.end());
 }
 
 void noteAnswer(PoolView &View, const Endpoint &Peer, bool Stopping,
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -16,6 +16,7 @@
 
 #include "framework/metrics/metrics.h"
 #include "jobs/internal/batcher.h"
+#include "jobs/internal/pools.h"
 #include "jobs/internal/taskqueue.h"
 #include "jobs/internal/workersession.h"
 #include "jobs/jobstore.h"
@@ -72,6 +73,8 @@
   void raiseToken(FencingToken Token, bool OtherLetsGo);
   /// How many workers answer.
   std::size_t workers() const;
+  /// The room of the pool, and how long waiting tasks would fill it.
+  PoolLoad load() const;
 
   /// Accepts \p New durably and calls back. Unavailable: it certainly was not
   /// taken; Timeout: unknown.
--- a/src/jobs/internal/workerdirectory.cpp
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -14,7 +14,7 @@
   auto [Place, Fresh] =
       Directory.Workers.try_emplace(Info.Worker, KnownWorker{Info, Now});
   if (Fresh) {
-    ++Directory.Changes;
+    Place->second.ChangedAt = ++Directory.Changes;
     return true;
   }
   KnownWorker &Known = Place->second;
@@ -25,25 +25,48 @@
   bool Draining = Known.Info.Draining || Info.Draining;
   if (Draining != Known.Info.Draining || Info.At != Known.Info.At ||
       Info.Capacity != Known.Info.Capacity)
-    ++Directory.Changes;
+    Known.ChangedAt = ++Directory.Changes;
   Known.Info = Info;
   Known.Info.Draining = Draining;
   return true;
 }
 
+void removeWorker(WorkerDirectory &Directory, const WorkerId &Worker) {
+  if (Directory.Workers.erase(Worker) == 0)
+    return;
+  Directory.Removals.push_back({Worker, ++Directory.Changes});
+  if (Directory.Removals.size() > MaxRemovals)
+    Directory.Removals.pop_front();
+}
+
 void leave(WorkerDirectory &Directory, const WorkerId &Worker) {
-  if (Directory.Workers.erase(Worker) != 0)
-    ++Directory.Changes;
+  removeWorker(Directory, Worker);
   Directory.Left.insert(Worker);
 }
 
 void dropSilent(WorkerDirectory &Directory, Time Now) {
-  std::size_t Dropped =
-      std::erase_if(Directory.Workers, [&](const auto &Entry) {
-        return Now - Entry.second.Heard >= WorkerSilence;
-      });
-  if (Dropped != 0)
-    ++Directory.Changes;
+  std::vector<WorkerId> Silent;
+  for (const auto &[Id, Known] : Directory.Workers)
+    if (Now - Known.Heard >= WorkerSilence)
+      Silent.push_back(Id);
+  for (const WorkerId &Id : Silent)
+    removeWorker(Directory, Id);
+}
+
+DirectoryChanges changesSince(const WorkerDirectory &Directory,
+                              std::uint64_t Since) {
+  DirectoryChanges Result;
+  Result.Whole = Since == 0 || (Directory.Removals.size() == MaxRemovals &&
+                                Directory.Removals.front().ChangedAt > Since);
+  for (const auto &[Id, Known] : Directory.Workers)
+    if (Result.Whole || Known.ChangedAt > Since)
+      Result.Changed.push_back(&Known);
+  if (Result.Whole)
+    return Result;
+  for (const RemovedWorker &Each : Directory.Removals)
+    if (Each.ChangedAt > Since)
+      Result.Removed.push_back(Each.Worker);
+  return Result;
 }
 
 Json::Value write(const WorkerInfo &Value) {
@@ -58,6 +81,7 @@
   Result["labels"] = Json::Value(Json::arrayValue);
   for (const std::string &Label : Value.Labels)
     Result["labels"].append(Label);
+  Result["rack"] = Value.Rack;
   Result["draining"] = Value.Draining;
   Result["sequence"] = Json::UInt64(Value.Sequence);
   Result["clock"] = Json::Int64(Value.Clock.value());
@@ -86,6 +110,9 @@
       return fail(ErrorCode::InvalidArgument, "a label is no text");
     Result.Labels.push_back(Label.asString());
   }
+  if (From.isMember("rack")) {
+    BOOST_LEAF_ASSIGN(Result.Rack, json::readString(From, "rack"));
+  }
   BOOST_LEAF_ASSIGN(Result.Draining, json::readBoolOr(From, "draining", false));
   BOOST_LEAF_ASSIGN(Result.Sequence, json::readUint(From, "sequence"));
   BOOST_LEAF_AUTO(Clock, json::readUintOr(From, "clock", 0));
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -50,6 +50,9 @@
   /// The last hold failed: nothing is started, and no lease renewed, until one
   /// succeeds.
   bool Silent = false;
+  /// Of a silent one: the last pause before it is asked again, and its end.
+  Duration RetryPause{0};
+  Time RetryAt;
   /// No task that this leader knows of can run there after this time, unless
   /// another lease is given.
   Time LeaseEnds;
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -15,8 +15,11 @@
 namespace {
 
 constexpr const char *Module = "jobs";
-/// The pause before a worker that did not answer is asked again.
-constexpr Duration RetryPause = std::chrono::milliseconds(50);
+/// The pause before a worker that did not answer is asked again. It doubles
+/// with each failure: one that is gone for good is forgotten by control after
+/// seconds only, and each question costs a connection.
+constexpr Duration FirstRetryPause = std::chrono::milliseconds(50);
+constexpr Duration LongestRetryPause = std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -104,6 +107,8 @@
     logEvent(LogLevel::Info, Module, "worker_answers",
              {{"worker", On.Info.Worker}});
   On.Silent = false;
+  On.RetryPause = Duration(0);
+  On.RetryAt = Time();
   On.Foreign = std::any_of(Findings.Found.begin(), Findings.Found.end(),
                            [&](const RunningTask &Each) {
                              bool Renewed = Lease_.RenewOrphans &&
@@ -130,11 +135,9 @@
                 {"runs", With->Runs.size()},
                 {"reason", Answer.error().Message}});
     With->Silent = true;
-    Needs_.Timers.after(RetryPause, [this, Alive = Alive_, Worker] {
-      WorkerSession *Again = *Alive ? session(Worker) : nullptr;
-      if (Again)
-        hold(*Again);
-    });
+    With->RetryPause =
+        std::clamp(With->RetryPause * 2, FirstRetryPause, LongestRetryPause);
+    With->RetryAt = Needs_.Clock.now() + With->RetryPause;
     return;
   }
   takeAnswer(*With, Order.At, *Answer);
@@ -313,7 +316,7 @@
   for (auto &[Worker, With] : Sessions_) {
     if (With.Silent && !With.Runs.empty() && Now >= With.LeaseEnds)
       loseRuns(With, "lease over");
-    if (With.TakenEnd == With.RecordedEnd)
+    if (With.TakenEnd == With.RecordedEnd && Now >= With.RetryAt)
       hold(With);
   }
 }
--- a/src/jobs/jobssetup.h
+++ b/src/jobs/jobssetup.h
@@ -36,6 +36,7 @@
 /// starts to look for the leader among \p ControlVms. Needs the framework's
 /// services and "worker_calls".
 void setUpJobGateway(Registry &Services, const Endpoint &Self,
+                     const DataCentreId &DataCentre,
                      std::vector<Endpoint> ControlVms, RoutingReader Reader,
                      Duration LongestLease);
 
--- a/src/jobs/jobstore.h
+++ b/src/jobs/jobstore.h
@@ -18,6 +18,7 @@
 /// All jobs that are remembered.
 struct JobStore {
   std::unordered_map<JobId, Job> Jobs;
+  PoolPlan Plan = PoolPlan::One;
 };
 
 /// Applies committed changes. A change that comes again, or comes for a job
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -130,16 +130,24 @@
   bool operator==(const TaskEnd &) const = default;
 };
 
+/// How the workers are divided among the entries that schedule.
+enum class PoolPlan {
+  One,    ///< One pool of all workers.
+  ByRack, ///< A pool for each rack of each data centre.
+};
+
 /// A batch of changes, as one entry of the log.
 struct JobChanges {
   std::vector<Job> Accepted;
   std::vector<TaskEnd> Ended;
   std::vector<JobId> Cancelled;
   std::vector<JobId> Forgotten;
+  /// From now on the workers are divided by racks, for good.
+  bool DividesByRacks = false;
 
   bool empty() const {
     return Accepted.empty() && Ended.empty() && Cancelled.empty() &&
-           Forgotten.empty();
+           Forgotten.empty() && !DividesByRacks;
   }
   bool operator==(const JobChanges &) const = default;
 };
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -12,6 +12,11 @@
 
 constexpr Duration Way = 1ms;
 
+/// Entries of data centre "a" are 10.0.1.x.
+const char *dataCentreOf(const Endpoint &Entry) {
+  return Entry.Address.rfind("10.0.1.", 0) == 0 ? "a" : "b";
+}
+
 Routing oneQueue() {
   Routing Result;
   Result.Version = DocumentVersion(1);
@@ -89,8 +94,12 @@
         Result["schedules"] = false;
         Result["configuration"] = 1;
         Result["document"] = "document";
-        for (const FakeEntry &Each : Entries)
-          Result["entries"].append(Each.At.text());
+        for (const FakeEntry &Each : Entries) {
+          Json::Value Named(Json::objectValue);
+          Named["at"] = Each.At.text();
+          Named["data_centre"] = dataCentreOf(Each.At);
+          Result["entries"].append(Named);
+        }
         if (Params["workers_change"].asUInt64() == 0) {
           Result["workers_of"] = 1;
           Result["workers_change"] = 1;
@@ -108,7 +117,8 @@
   New.Workers = std::make_unique<FakeWorkerCalls>(Workers, New.At.Address);
   EntryNeeds Needs{*New.Workers, Clock, Timers, Measured, *New.Rpc, *New.Rpc};
   New.Jobs = std::make_unique<EntryJobs>(
-      Needs, New.At, std::vector<Endpoint>{Control_},
+      Needs, EntryPlace{New.At, DataCentreId(dataCentreOf(New.At))},
+      std::vector<Endpoint>{Control_},
       [](const std::string &) -> RetVal<Routing> { return oneQueue(); },
       LeaseSettings());
   New.Jobs->start();
@@ -126,7 +136,7 @@
 std::vector<std::size_t> EntryFake::owners() const {
   std::vector<std::size_t> Result;
   for (std::size_t I = 0; I < Entries.size(); ++I)
-    if (Entries[I].Jobs && Entries[I].Jobs->ownsThePool())
+    if (Entries[I].Jobs && Entries[I].Jobs->ownsAPool())
       Result.push_back(I);
   return Result;
 }
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -11,6 +11,7 @@
 #include "framework/json/json.h"
 #include "jobs/iworkercalls.h"
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -26,6 +27,8 @@
   Resources Capacity;
   /// Its kind, its rack and whatever else it carries.
   std::vector<std::string> Labels;
+  /// Which of the labels is its rack; empty if it has none.
+  std::string Rack;
   bool Draining = false;
   /// Counts the announcements of this incarnation.
   std::uint64_t Sequence = 0;
@@ -39,6 +42,14 @@
 struct KnownWorker {
   WorkerInfo Info;
   Time Heard;
+  /// The number of the last change that schedulers must hear of.
+  std::uint64_t ChangedAt = 0;
+};
+
+/// A worker that has been removed, and the number of that change.
+struct RemovedWorker {
+  WorkerId Worker;
+  std::uint64_t ChangedAt = 0;
 };
 
 struct WorkerDirectory {
@@ -48,7 +59,23 @@
   std::set<WorkerId> Left;
   /// Counts the changes that schedulers must hear of.
   std::uint64_t Changes = 0;
+  /// The latest removals, oldest first, at most MaxRemovals.
+  std::deque<RemovedWorker> Removals;
+};
+
+/// Removals that are remembered, for entries that ask what has changed: more
+/// than a second brings when a third of 350 workers goes at once.
+constexpr std::size_t MaxRemovals = 512;
+
+/// What has changed since one has heard of the first \p Since changes.
+struct DirectoryChanges {
+  /// All workers are listed, as the removals do not reach back far enough.
+  bool Whole = false;
+  std::vector<const KnownWorker *> Changed;
+  std::vector<WorkerId> Removed;
 };
+DirectoryChanges changesSince(const WorkerDirectory &Directory,
+                              std::uint64_t Since);
 
 /// A worker that has not announced itself for so long is dropped. Workers
 /// announce every second or two; a crashed one says nothing.
@@ -57,6 +84,8 @@
 /// Takes an announcement of \p Info. Returns false if it is older than what is
 /// known.
 bool announce(WorkerDirectory &Directory, const WorkerInfo &Info, Time Now);
+/// Removes the worker, if it is there.
+void removeWorker(WorkerDirectory &Directory, const WorkerId &Worker);
 /// Notes that the incarnation has ended.
 void leave(WorkerDirectory &Directory, const WorkerId &Worker);
 /// Drops the workers that are silent.
