Tell from logs what became of a job: explain, and one line an answer

Entries log each answer with the inputs that decided it (pool, owner, configuration, sendings, time taken and left), owners each job they take and end with the length of their queue, and runs that did not end well. The subcommand explain joins the logs of several processes into one story of a job, aligns clocks by the entry's span, and names the causes.

--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -59,6 +59,14 @@
 passed over, and "come back later" is followed, until --wait_ms is over.
 )";
 
+constexpr const char *ExplainDetails =
+    R"(Joins the logs of several processes into the story of one job: the lines
+that name it, and those around that time that tell of its workers, owners and
+entries, in one order although clocks differ. It ends with the causes that the
+lines show. A word before a line's time names its process; else the file's name
+does.
+)";
+
 constexpr const char *DrainDetails =
     R"(Tells a process to take no new work, and waits until no request is in flight
 (code 0) or --wait_ms is over (code 1; the drain goes on). No request in flight
@@ -128,6 +136,14 @@
        0,
        0,
        runDrain},
+      {"explain",
+       "JOB FILE...",
+       "Tell from logs what became of a job, and why.",
+       ExplainDetails,
+       {},
+       2,
+       AnyNumber,
+       runExplain},
       {"version",
        "",
        "Show the version of the program.",
--- a/src/jobs/ijobgateway.h
+++ b/src/jobs/ijobgateway.h
@@ -28,6 +28,9 @@
   Unknown,   ///< It may have had an effect; sending it again is harmless.
 };
 
+/// Stable name of \p Outcome for logs.
+const char *outcomeName(JobOutcome Outcome);
+
 struct JobAnswer {
   JobOutcome Outcome = JobOutcome::Unknown;
   JobState State = JobState::Active;
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -16,6 +16,7 @@
   Callback Done;
   /// Names this request at the owner.
   WaiterId Own;
+  Time Since;
   /// The caller waits until then.
   Time GiveUp;
   /// Without an owner the job is given up then.
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -102,12 +102,12 @@
     // It is answered, or a durable job, which goes on without its caller.
   };
   if (RoutingFrom_ == ConfigVersion(0)) {
-    Done(notTaken("this entry has no configuration yet"));
+    refuse(Request, notTaken("this entry has no configuration yet"), Done);
     return Nothing;
   }
   QueueMatch Where = findQueue(Routing_, Request.Host, Request.Path);
   if (!Where.Found) {
-    Done(outcome(JobOutcome::NoQueue));
+    refuse(Request, outcome(JobOutcome::NoQueue), Done);
     return Nothing;
   }
   if (!Spec.Transient || ControlSchedules_) {
@@ -119,6 +119,7 @@
   What->Wanted = newJob(Where, Spec);
   What->Done = std::move(Done);
   What->Own = {Self_, Incarnation_, ++LastSerial_};
+  What->Since = Now;
   What->GiveUp = Now + Request.Timeout;
   What->SearchUntil = Now + SearchTime;
   Asks_.insert(What);
@@ -318,16 +319,41 @@
     return;
   const AskPtr &What = Kept.value();
   ++What->Attempt;
-  bool Served = Answer.Outcome == JobOutcome::Known;
-  if (!Served)
-    logEvent(LogLevel::Info, Module, "job_not_served",
-             {{"job", What->Wanted.Id},
-              {"outcome", static_cast<int>(Answer.Outcome)},
-              {"reason", Answer.Reason}});
   // "Not run" must be true of every owner that had the job.
-  if (Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken)
-    return What->Done(outcome(JobOutcome::Unknown, Answer.Reason));
-  What->Done(Answer);
+  bool Doubtful = Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken;
+  JobAnswer Told =
+      Doubtful ? outcome(JobOutcome::Unknown, Answer.Reason) : Answer;
+  logAnswer(*What, Told);
+  What->Done(Told);
+}
+
+void EntryJobs::logAnswer(const Ask &Of, const JobAnswer &Told) const {
+  bool Served = Told.Outcome == JobOutcome::Known;
+  Time Now = Needs_.Clock.now();
+  logEvent(Served ? LogLevel::Info : LogLevel::Warning, Module, "job_answered",
+           {{"job", Of.Wanted.Id},
+            {"outcome", outcomeName(Told.Outcome)},
+            {"state", Served ? jobStateName(Told.State) : ""},
+            {"reason", Told.Reason},
+            {"queue", Of.Wanted.Queue},
+            {"configuration", RoutingFrom_},
+            {"pool", Of.Pool},
+            {"owner", Of.TakenBy.text()},
+            {"sendings", Of.Attempt},
+            {"took_us", (Now - Of.Since).count()},
+            {"left_us", (Of.GiveUp - Now).count()}});
+}
+
+void EntryJobs::refuse(const JobRequest &Request, const JobAnswer &Answer,
+                       const Callback &Done) const {
+  logEvent(LogLevel::Warning, Module, "job_refused",
+           {{"job", Request.Path.substr(Request.Path.rfind('/') + 1)},
+            {"outcome", outcomeName(Answer.Outcome)},
+            {"reason", Answer.Reason},
+            {"host", Request.Host},
+            {"path", Request.Path},
+            {"configuration", RoutingFrom_}});
+  Done(Answer);
 }
 
 void EntryJobs::prepareStop() {
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -104,6 +104,10 @@
   void answered(const AskPtr &What, std::uint64_t Attempt, const Endpoint &From,
                 const Outcome<Json::Value> &Result);
   void finish(const AskPtr &Asked, const JobAnswer &Answer);
+  /// Answers a request that went nowhere.
+  void refuse(const JobRequest &Request, const JobAnswer &Answer,
+              const Callback &Done) const;
+  void logAnswer(const Ask &Of, const JobAnswer &Told) const;
   void abandon(const AskPtr &What);
   void park(const AskPtr &What);
   void redispatchParked();
--- /dev/null
+++ b/src/jobs/internal/names.cpp
@@ -0,0 +1,47 @@
+//===- names.cpp - Names of states and outcomes for logs ------------------===//
+//
+// Log readers rely on them, so they stay as they are.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/ijobgateway.h"
+
+namespace geraniumbay::jobs {
+
+const char *jobStateName(JobState State) {
+  switch (State) {
+  case JobState::Active:
+    return "active";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+const char *outcomeName(JobOutcome Outcome) {
+  switch (Outcome) {
+  case JobOutcome::Accepted:
+    return "accepted";
+  case JobOutcome::Known:
+    return "known";
+  case JobOutcome::Cancelled:
+    return "cancelled";
+  case JobOutcome::NoQueue:
+    return "no_queue";
+  case JobOutcome::NoJob:
+    return "no_job";
+  case JobOutcome::Invalid:
+    return "invalid";
+  case JobOutcome::NotTaken:
+    return "not_taken";
+  case JobOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace geraniumbay::jobs
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -25,20 +25,6 @@
 /// Jobs forgotten in one batch.
 constexpr std::size_t MaxForgotten = 200;
 
-const char *stateName(JobState State) {
-  switch (State) {
-  case JobState::Active:
-    return "active";
-  case JobState::Completed:
-    return "completed";
-  case JobState::Failed:
-    return "failed";
-  case JobState::Cancelled:
-    return "cancelled";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 Scheduler::Scheduler(SchedulerNeeds Needs, FencingToken Token,
@@ -182,9 +168,13 @@
   if (Orders_.erase(Id) == 0)
     return;
   const Job *Of = jobOf(Id);
-  const char *State = Of ? stateName(Of->State) : "forgotten";
+  const char *State = Of ? jobStateName(Of->State) : "forgotten";
   logEvent(LogLevel::Info, Module, "job_ended",
-           {{"job", Id}, {"state", State}, {"token", Token_.value()}});
+           {{"job", Id},
+            {"state", State},
+            {"token", Token_.value()},
+            {"took_us", tookSoFar(Id).count()},
+            {"waiting_tasks", Queue_.size()}});
   Needs_.Measured.count("geraniumbay_jobs_ended_total", "Jobs that ended.",
                         {{"state", State}});
   forgetWaiting(Id);
@@ -201,6 +191,12 @@
   Answered_.emplace_back(Needs_.Clock.now(), Id);
 }
 
+Duration Scheduler::tookSoFar(const JobId &Id) const {
+  auto Found = Waiters_.find(Id);
+  return Found == Waiters_.end() ? Duration(0)
+                                 : Needs_.Clock.now() - Found->second.Since;
+}
+
 void Scheduler::committed(const JobChanges &Changes) {
   for (const TaskEnd &End : Changes.Ended) {
     const Job *Of = jobOf(End.Task.Job);
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -136,6 +136,8 @@
   void enqueue(const TaskId &Id);
   void forgetWaiting(const JobId &Id);
   void jobSettled(const JobId &Id);
+  /// How long a transient job has been here.
+  Duration tookSoFar(const JobId &Id) const;
   void forgetSettled(Time Now);
   bool mayHaveEarlierRun(const Job &Of) const;
   void tick();
@@ -209,6 +211,7 @@
   };
   struct Waiters {
     std::vector<Waiter> Waiting;
+    Time Since;
     Time GiveUpAt;
   };
   /// Of transient jobs that are active.
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -40,7 +40,14 @@
   JobChanges Changes;
   Changes.Accepted.push_back(std::move(New));
   apply(Transient_, Changes);
-  Waiters_[Id] = {{{From, std::move(Ended)}}, Now + Patience};
+  logEvent(LogLevel::Info, Module, "job_taken",
+           {{"job", Id},
+            {"origin", From.Origin.text()},
+            {"maybe_taken", MaybeTaken},
+            {"token", Token_.value()},
+            {"left_us", Patience.count()},
+            {"waiting_tasks", Queue_.size()}});
+  Waiters_[Id] = {{{From, std::move(Ended)}}, Now, Now + Patience};
   Orders_[Id] = ++LastOrder_;
   if (MaybeTaken) {
     Unsettled_[Id] = Now;
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -239,6 +239,15 @@
   JobChanges Passing;
   for (const EndedTask &End : Ended) {
     const TaskRecord *Record = taskOf(End.Task);
+    if (End.How != EndKind::Done && Record)
+      logEvent(LogLevel::Warning, Module, "task_not_done",
+               {{"job", End.Task.Job},
+                {"step", End.Task.Step},
+                {"index", End.Task.Index},
+                {"run", End.Run.value()},
+                {"worker", On.Info.Worker},
+                {"counts", End.How == EndKind::Failed},
+                {"failures", Record->Failures}});
     if (End.How == EndKind::Other || !Record || Record->Done)
       continue;
     JobChanges &Into = isTransient(End.Task.Job) ? Passing : Durable;
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -89,6 +89,9 @@
 
 enum class JobState { Active, Completed, Failed, Cancelled };
 
+/// Stable name of \p State for logs.
+const char *jobStateName(JobState State);
+
 /// A job with all that is durable about it.
 struct Job {
   JobId Id;
