Share pools among entries, outbid claims of silent entries

Beside it, three ways in which an entry could follow nobody: a claim with a higher token whose maker is gone, a report of control with a lower token than the dead owner's, and a pool of its own without workers. Change: an owner of several pools lets go of one each second for a candidate that owns none, which adopts what runs; an owner outbids a rival that has not answered for 600 ms; control's word counts where the owner is silent; a pool whose owner does not answer is not chosen again before it is told of anew. Tests: AnEntryThatComesBackGetsAPoolAndNothingRunsAnew, AnOwnerOutbidsAClaimWhoseMakerIsSilent, AllEntriesServeAfterPowerLosses, and all entries must serve at the end of each random play.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -183,6 +183,8 @@
   bool Stays = What->MaybeTaken || Now - What->PoolChosen < ChoiceLasts;
   if (Stays && !What->Pool.value().empty())
     return Chosen;
+  if (Chosen && !Chosen->isOwned())
+    Chosen->distrustLoad();
   Chosen = choosePool(What->Wanted);
   What->PoolChosen = Now;
   if (Chosen)
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -78,6 +78,9 @@
   void takePools(const Json::Value &From, const Endpoint &Speaker);
   void tellCandidates(const PoolMember &Of);
   void followOwners();
+  /// Of an entry that owns several pools: lets go of one for an entry that owns
+  /// none.
+  void shareOwnership();
   void dropSilentOrigins(Scheduler &Of, Time Now);
   /// Takes this entry's own stamp that a message of \p From brings back.
   void noteEcho(const Endpoint &From, const Json::Value &Params);
@@ -136,8 +139,8 @@
 
   Pools Pools_;
   bool Stopping_ = false;
-  /// Counts the rounds of pings; some peers are pinged in every second only.
-  std::uint64_t PingRound_ = 0;
+  /// When this entry last let go of a pool for another entry.
+  Time SharedAt_;
   std::set<Endpoint> PingsUnderWay_;
   /// The clock of an entry in its last answer, to be sent back to it.
   struct Echo {
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -19,6 +19,10 @@
 /// What an owner said of its load is worth nothing after this time.
 constexpr Duration LoadLasts = std::chrono::seconds(2);
 
+/// A candidate takes over what was let go for it within two pings; else this
+/// entry may claim it again.
+constexpr Duration GoneFor = std::chrono::seconds(1);
+
 /// How long a new owner leaves alone what runs of unknown jobs, for the entries
 /// to hand these in again. Behind an owner that was silent for long, little
 /// that runs is left; it is stopped at once.
@@ -81,7 +85,27 @@
   return true;
 }
 
+void PoolMember::letGo() {
+  LetGoAt_ = Needs_.Clock.now();
+  View_.Stopping = true;
+}
+
+void PoolMember::endLettingGo() {
+  if (!LetGoAt_)
+    return;
+  bool Taken =
+      View_.Owner.Token != FencingToken(0) && View_.Owner.At != View_.Self;
+  if (!Taken && Needs_.Clock.now() - *LetGoAt_ < GoneFor)
+    return;
+  LetGoAt_.reset();
+  View_.Stopping = false;
+}
+
 bool PoolMember::followOwner(bool Disengaged) {
+  endLettingGo();
+  if (outbidSilentRival(View_, Needs_.Clock.now(), Needs_.Clock.wallNow()))
+    logEvent(LogLevel::Info, Module, "pool_rival_outbid",
+             {{"pool", Name_}, {"token", View_.Owner.Token.value()}});
   bool Owns = ownsPool(View_) && !Disengaged;
   bool Raised = Scheduler_ && Owns && Scheduler_->token() != View_.Owner.Token;
   if (Raised) {
@@ -134,6 +158,8 @@
   Result["owner"] = View_.Owner.At.text();
   Result["token"] = Json::UInt64(View_.Owner.Token.value());
   Result["highest"] = Json::UInt64(View_.Highest.value());
+  if (LetGoAt_)
+    Result["lets_go"] = true;
   if (Scheduler_ && ownsPool(View_)) {
     Result["workers"] = Json::UInt64(Scheduler_->workers());
     Result["load"] = write(Scheduler_->load());
@@ -165,6 +191,8 @@
 void PoolMember::takeWord(const Json::Value &From, const Endpoint &Speaker) {
   OwnerClaim Word = takeClaim(From, Speaker);
   noteOwnWord(View_, Speaker, Word);
+  if (From["lets_go"].isBool() && From["lets_go"].asBool())
+    noteStopping(View_, Speaker);
   meetOwner(From, Word, Speaker);
   if (Speaker == View_.Owner.At)
     takeLoad(From);
@@ -173,6 +201,10 @@
 void PoolMember::takeReport(const Json::Value &From) {
   if (Candidate_)
     return;
+  // Where the owner that is believed in does not answer, control's word counts
+  // whatever its token: jobs are safe at whoever takes them.
+  if (!isOwned())
+    View_.LastClaim = FencingToken(0);
   takeClaim(From, Endpoint());
   takeLoad(From);
 }
@@ -205,8 +237,12 @@
 }
 
 std::optional<Duration> PoolMember::expectedWait(std::uint32_t Priority) const {
-  if (Scheduler_)
-    return jobs::expectedWait(Scheduler_->load(), Priority);
+  if (Scheduler_) {
+    PoolLoad Own = Scheduler_->load();
+    if (Own.Capacity == 0)
+      return std::nullopt;
+    return jobs::expectedWait(Own, Priority);
+  }
   if (!LoadTold_ || Needs_.Clock.now() - *LoadTold_ >= LoadLasts ||
       Load_.Capacity == 0)
     return std::nullopt;
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -50,6 +50,9 @@
   /// Starts or ends the scheduler as the view says; with \p Disengaged there is
   /// none. Returns whether the other candidates must hear of it at once.
   bool followOwner(bool Disengaged);
+  /// Lets go of the pool for the next candidate to take over, with what runs.
+  /// Another claim, or GoneFor, ends it.
+  void letGo();
   /// Hands the directory to the scheduler.
   void workersChanged();
 
@@ -69,8 +72,12 @@
   double use() const;
   /// Notes that work was sent to the owner.
   void noteSent(const Job &Sent);
+  /// The owner did not answer: no job is sent before its load is told again.
+  void distrustLoad() { LoadTold_.reset(); }
 
 private:
+  /// Ends letting go once another owns the pool, or nobody wants to.
+  void endLettingGo();
   void meetOwner(const Json::Value &From, const OwnerClaim &Word,
                  const Endpoint &Speaker);
   void takeLoad(const Json::Value &From);
@@ -84,6 +91,8 @@
   WorkerDirectory Directory_;
   const JobStore NoDurableJobs_;
   std::unique_ptr<Scheduler> Scheduler_;
+  /// Since when this owner has let go for another candidate.
+  std::optional<Time> LetGoAt_;
   /// The claim went up because another owner was met, which lets go.
   bool MetOther_ = false;
   /// The owner's last word.
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -18,6 +18,9 @@
 
 constexpr const char *Module = "jobs";
 constexpr Duration TickInterval = std::chrono::milliseconds(25);
+/// An entry gives pools to others this often at most: the time in which all
+/// have heard of the last change.
+constexpr Duration SharePause = std::chrono::seconds(1);
 constexpr Duration PingTimeout = std::chrono::milliseconds(300);
 
 /// The owner's clock as a number that comes back to it.
@@ -58,6 +61,37 @@
       tellCandidates(*In);
 }
 
+void EntryJobs::shareOwnership() {
+  Time Now = Needs_.Clock.now();
+  if (Plan_ == PoolPlan::One || Stopping_ || Now - SharedAt_ < SharePause)
+    return;
+  std::set<Endpoint> Owners;
+  std::vector<PoolMember *> Own;
+  for (const auto &[Name, In] : Pools_) {
+    if (In->isOwned())
+      Owners.insert(In->view().Owner.At);
+    if (In->scheduler())
+      Own.push_back(In.get());
+  }
+  if (Own.size() < 2)
+    return;
+  PoolMember &Given = *Own.back();
+  // The first candidate that is alive takes it over.
+  for (const Endpoint &Next : Given.view().Ranked) {
+    if (Next == Self_ || !isAlive(Given.view(), Next, Now))
+      continue;
+    if (Owners.count(Next) != 0)
+      return;
+    SharedAt_ = Now;
+    logEvent(
+        LogLevel::Info, Module, "pool_shared",
+        {{"pool", Given.name()}, {"to", Next.text()}, {"own", Own.size()}});
+    Given.letGo();
+    Given.followOwner(ControlSchedules_);
+    return tellCandidates(Given);
+  }
+}
+
 void EntryJobs::dropSilentOrigins(Scheduler &Of, Time Now) {
   for (const Endpoint &Origin : Of.origins()) {
     if (Origin == Self_ || Now - Contacts_[Origin] < OwnerSilence)
@@ -84,6 +118,7 @@
 
 void EntryJobs::pingAll() {
   rankCandidates();
+  shareOwnership();
   for (const auto &[To, About] : pingsDue())
     ping(To, About);
   Needs_.Timers.after(PingInterval, [this] { pingAll(); });
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -125,6 +125,8 @@
   }
   bool Bound = Owned && isAlive(View, View.Owner.At, Now);
   if (Bound && Speaker != View.Owner.At) {
+    if (View.Rival.At != Claim.At)
+      View.RivalSince = Now;
     View.Rival = Claim;
     View.RivalHeard = Now;
     return false;
@@ -180,6 +182,17 @@
   return true;
 }
 
+bool outbidSilentRival(PoolView &View, Time Now, WallMillis Wall) {
+  if (!ownsPool(View) || View.Rival.Token <= View.Owner.Token ||
+      !View.RivalSince || Now - *View.RivalSince < DeadAfter ||
+      isAlive(View, View.Rival.At, Now) || !hearsHalf(View, Now))
+    return false;
+  View.Rival = OwnerClaim();
+  View.Owner.Token = tokenAbove(View, Wall);
+  View.Highest = View.LastClaim = View.Owner.Token;
+  return true;
+}
+
 Time givenUpBy(const PoolView &View, const Endpoint &Owner) {
   auto Found = View.Peers.find(Owner);
   if (Found == View.Peers.end() || Found->second.Stopping ||
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -90,8 +90,9 @@
   /// Another claim that was heard of while the owner was alive. Owners settle
   /// it between themselves.
   OwnerClaim Rival;
-  /// When it was last heard of.
+  /// When it was last heard of, and since when it is.
   std::optional<Time> RivalHeard;
+  std::optional<Time> RivalSince;
   /// The owner before; only of an entry that has claimed the pool.
   OwnerClaim Earlier;
   /// The highest claim that was heard of; lower ones are of the past.
@@ -141,6 +142,11 @@
 bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
                std::uint64_t Others, Time Now, WallMillis Wall);
 
+/// Of an owner: others believe in a claim with a higher token whose maker has
+/// been asked for DeadAfter and does not answer, so that they would follow
+/// nobody. Takes a token above it, and returns whether it did.
+bool outbidSilentRival(PoolView &View, Time Now, WallMillis Wall);
+
 /// From when on a job that \p Owner may have taken can go to another one: by
 /// then the owner has let go, or has missed this entry and stopped the job.
 Time givenUpBy(const PoolView &View, const Endpoint &Owner);
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -101,10 +101,11 @@
         Result["owners"] = OwnersTold_;
         Result["configuration"] = 1;
         Result["document"] = "document";
-        for (const FakeEntry &Each : Entries) {
+        Asked_[Params["entry"].asString()] = Params["data_centre"].asString();
+        for (const auto &[At, Where] : Asked_) {
           Json::Value Named(Json::objectValue);
-          Named["at"] = Each.At.text();
-          Named["data_centre"] = dataCentreOf(Each.At);
+          Named["at"] = At;
+          Named["data_centre"] = Where;
           Result["entries"].append(Named);
         }
         if (Params["workers_change"].asUInt64() == 0) {
@@ -187,6 +188,19 @@
   Entries[Entry].At = At;
 }
 
+void EntryFake::losePower(Random &Rng) {
+  Asked_.clear();
+  OwnersTold_ = Json::Value(Json::objectValue);
+  for (std::size_t I = 0; I < Entries.size(); ++I)
+    if (Entries[I].Jobs)
+      crash(I);
+  run(1s);
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    run(Duration(Rng.below(150'000)));
+    start(I);
+  }
+}
+
 void EntryFake::cutDataCentre(bool Refuses) {
   Net.CutsRefuse = Refuses;
   for (const std::string &Here : HostsOfA_)
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -90,6 +90,9 @@
   /// Ends the process; start() brings it back without what it knew.
   void crash(std::size_t Entry);
   void start(std::size_t Entry);
+  /// All entries end, and control forgets them; they start one by one, each
+  /// some time after the one before.
+  void losePower(Random &Rng);
   /// Cuts data centre "a" from "b" and from the control VM, or joins them.
   void cutDataCentre(bool Refuses);
   void join();
@@ -114,6 +117,8 @@
   std::unique_ptr<FakePeerRpc> ControlRpc_;
   std::vector<WorkerInfo> Announced_;
   Json::Value OwnersTold_{Json::objectValue};
+  /// The entries that have asked control, with their data centres.
+  std::map<std::string, std::string> Asked_;
   std::set<std::string> HostsOfA_;
   std::set<std::string> HostsElsewhere_;
 };
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -110,6 +110,41 @@
     EXPECT_TRUE(served(Job));
 }
 
+TEST(PoolsTest, AnEntryThatComesBackGetsAPoolAndNothingRunsAnew) {
+  EntryFake Fake(2, 4);
+  Fake.Workers.TaskTime = 900ms;
+  Fake.settleByRack();
+  Fake.crash(1);
+  Fake.run(2s);
+  ASSERT_EQ(Fake.owners(), (std::vector<std::size_t>{0, 2, 3}));
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (int I = 0; I < 30; ++I) {
+    if (I == 5)
+      Fake.start(1);
+    Jobs.push_back(Fake.submit(I % 2 * 2, "job" + std::to_string(I), 1));
+    Fake.run(150ms);
+  }
+  Fake.run(2s);
+  EXPECT_EQ(Fake.owners(), (std::vector<std::size_t>{0, 1, 2, 3}));
+  EXPECT_TRUE(std::all_of(Jobs.begin(), Jobs.end(), served));
+  EXPECT_EQ(Fake.Workers.Starts, Jobs.size());
+}
+
+// Others believe in a claim whose maker is gone and follow nobody.
+TEST(PoolViewTest, AnOwnerOutbidsAClaimWhoseMakerIsSilent) {
+  Time Start{10s};
+  PoolView View;
+  View.Self = entry(1);
+  takeEntries(View, {entry(1), entry(2), entry(3)}, Start);
+  View.Owner = {entry(1), FencingToken(100)};
+  noteAnswer(View, entry(2), false, Start + 500ms);
+  noteClaim(View, {entry(3), FencingToken(200)}, entry(2), Start);
+  EXPECT_FALSE(outbidSilentRival(View, Start + DeadAfter - 1ms, 0));
+  noteAnswer(View, entry(2), false, Start + DeadAfter);
+  EXPECT_TRUE(outbidSilentRival(View, Start + DeadAfter, 0));
+  EXPECT_GT(View.Owner.Token, FencingToken(200));
+}
+
 TEST(PoolsTest, ACutChangesNoOwnerAndBothSidesServe) {
   EntryFake Fake(2, 4);
   Fake.settleByRack();
@@ -164,7 +199,23 @@
       comeBack();
     }
     Fake_.join();
-    Fake_.run(4s);
+    if (Down_)
+      Fake_.start(*Down_);
+    Fake_.run(5s);
+  }
+
+  /// Whether every entry serves once all trouble is over.
+  bool allServe() {
+    Fake_.Faults.LatePercent = 0;
+    Fake_.Workers.FailPercent = 0;
+    Fake_.run(1s);
+    std::vector<std::shared_ptr<Submitted>> Jobs;
+    for (std::size_t I = 0; I < 12; ++I) {
+      Jobs.push_back(Fake_.submit(I % 4, "last" + std::to_string(I), 1));
+      Fake_.run(600ms);
+    }
+    Fake_.run(3s);
+    return std::all_of(Jobs.begin(), Jobs.end(), served);
   }
 
 private:
@@ -241,11 +292,37 @@
   }
 }
 
+void serveAfterPowerLosses(std::uint64_t Seed) {
+  EntryFake Fake(4, 12, Seed);
+  Random Rng(Seed);
+  Fake.settleByRack();
+  for (std::uint64_t Losses = 1 + Rng.below(3); Losses > 0; --Losses) {
+    Fake.losePower(Rng);
+    Fake.run(Duration(Rng.below(1'500'000)));
+  }
+  Fake.run(2s);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 0; I < 32; ++I) {
+    Jobs.push_back(Fake.submit(I % 8, "job" + std::to_string(I), 1));
+    Fake.run(100ms);
+  }
+  Fake.run(2s);
+  EXPECT_TRUE(std::all_of(Jobs.begin(), Jobs.end(), served)) << "seed " << Seed;
+  EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
+}
+
+TEST(PoolsTest, AllEntriesServeAfterPowerLosses) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed)
+    serveAfterPowerLosses(Seed);
+}
+
 RC_GTEST_PROP(PoolsProperties, NoTaskRunsTwiceAtATime, ()) {
   auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1U << 20U);
   EntryFake Fake(2, 4, Seed);
-  RandomPlay(Fake, Seed).play();
+  RandomPlay Play(Fake, Seed);
+  Play.play();
   RC_ASSERT(Fake.Workers.Doubled.empty());
+  RC_ASSERT(Play.allServe());
 }
 
 } // namespace
