Fetch large documents and worker lists apart from the frequent question

Change: the frequent question brings documents up to 16 KB and 50 workers; what is larger is named and fetched once, with two seconds' time, documents from control VMs among which entries spread. Questions under way are bounded. Ruled out: owners (no pool was claimed, no entry had a worker).

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -58,7 +58,9 @@
       Lease_(Lease),
       Control_(std::move(ControlVms), Needs.Client, Needs.Clock, Needs.Timers,
                {[this] { return askControl(); },
-                [this](const Json::Value &Result) { takeControl(Result); }}),
+                [this](const Json::Value &Result, const Endpoint &From) {
+                  takeControl(Result, From);
+                }}),
       Incarnation_(incarnationAt(Needs.Clock)) {
   memberOf(poolOfAll(), DataCentre_);
 }
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -59,7 +59,10 @@
 
   // What control VMs say (entrysync.cpp).
   Json::Value askControl() const;
-  void takeControl(const Json::Value &Result);
+  void takeControl(const Json::Value &Result, const Endpoint &From);
+  /// Asks \p From for the document; \p OrElse is asked if that fails.
+  void fetchDocument(const Endpoint &From, std::optional<Endpoint> OrElse);
+  void fetchWorkers(const Endpoint &Leader);
   void takeDocument(const Json::Value &Result);
   void takePlan(const Json::Value &Result);
   void takeWorkers(const Json::Value &Result);
@@ -130,6 +133,8 @@
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
   std::uint64_t WorkersChange_ = 0;
+  bool FetchesDocument_ = false;
+  bool FetchesWorkers_ = false;
   /// In which pool each worker is.
   std::map<WorkerId, PoolName> WorkerPools_;
   /// Entries, and when the leader last named each.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -15,6 +15,12 @@
 namespace {
 
 constexpr const char *Module = "jobs";
+/// A document of a thousand queues, or some hundred workers, takes tens of
+/// milliseconds at a control VM that forty entries ask at once.
+constexpr Duration FetchTimeout = std::chrono::milliseconds(2000);
+/// The same from one of the control VMs among which entries spread themselves.
+/// With the leader after it a document is here within two seconds.
+constexpr Duration SpreadFetchTimeout = std::chrono::milliseconds(700);
 /// An entry that no leader has named for so long is forgotten.
 constexpr Duration EntrySilence = std::chrono::seconds(60);
 
@@ -40,17 +46,54 @@
   return Params;
 }
 
-void EntryJobs::takeControl(const Json::Value &Result) {
+void EntryJobs::takeControl(const Json::Value &Result, const Endpoint &From) {
   takeDocument(Result);
   takeEntryList(Result);
   takePlan(Result);
   takeWorkers(Result);
   takeOwners(Result);
+  if (ConfigVersion(numberOr(Result, "large_document", 0)) > RoutingFrom_)
+    fetchDocument(Control_.spread(std::hash<std::string>()(Self_.text())),
+                  From);
+  if (Result.isMember("many_workers"))
+    fetchWorkers(From);
   if (Result["ready"].isBool() && Result["ready"].asBool())
     ControlSchedules_ =
         Result["schedules"].isBool() && Result["schedules"].asBool();
 }
 
+void EntryJobs::fetchDocument(const Endpoint &From,
+                              std::optional<Endpoint> OrElse) {
+  if (FetchesDocument_)
+    return;
+  FetchesDocument_ = true;
+  auto Took = [this, OrElse](const Outcome<Json::Value> &Result) {
+    FetchesDocument_ = false;
+    ConfigVersion Before = RoutingFrom_;
+    if (Result)
+      takeDocument(*Result);
+    if (RoutingFrom_ == Before && OrElse)
+      fetchDocument(*OrElse, std::nullopt);
+  };
+  Control_.fetch(From, wire::method::Document, Json::Value(Json::objectValue),
+                 OrElse ? SpreadFetchTimeout : FetchTimeout, std::move(Took));
+}
+
+void EntryJobs::fetchWorkers(const Endpoint &Leader) {
+  if (FetchesWorkers_)
+    return;
+  FetchesWorkers_ = true;
+  Json::Value Params(Json::objectValue);
+  Params["workers_of"] = Json::UInt64(WorkersOf_);
+  Params["workers_change"] = Json::UInt64(WorkersChange_);
+  Control_.fetch(Leader, wire::method::Workers, std::move(Params), FetchTimeout,
+                 [this](const Outcome<Json::Value> &Result) {
+                   FetchesWorkers_ = false;
+                   if (Result)
+                     takeWorkers(*Result);
+                 });
+}
+
 void EntryJobs::takeDocument(const Json::Value &Result) {
   ConfigVersion Version(numberOr(Result, "configuration", 0));
   if (Version <= RoutingFrom_ || !Result["document"].isString())
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -31,6 +31,9 @@
 /// The same while no leader is known.
 constexpr Duration SearchInterval = std::chrono::milliseconds(100);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
+/// Questions under way at a time: enough to find the leader among VMs that do
+/// not answer, few enough not to flood one that is slow.
+constexpr std::size_t MaxProbes = 4;
 /// A leader that has not confirmed itself for this long may be none any more.
 constexpr Duration ReadyFor = std::chrono::milliseconds(2500);
 
@@ -180,11 +183,22 @@
            {{"leader", At.text()}, {"reason", Reason}});
 }
 
+void JobGateway::fetch(const Endpoint &From, const char *Method,
+                       Json::Value Params, Duration Timeout,
+                       FetchCallback Done) {
+  Client_.call(From, Method, std::move(Params), Timeout, std::move(Done));
+}
+
 void JobGateway::probe() {
-  Endpoint To = target();
-  Client_.call(
-      To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout,
-      [this, To](const Outcome<Json::Value> &Result) { probed(To, Result); });
+  if (ProbesUnderWay_ < MaxProbes) {
+    Endpoint To = target();
+    ++ProbesUnderWay_;
+    Client_.call(To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout,
+                 [this, To](const Outcome<Json::Value> &Result) {
+                   --ProbesUnderWay_;
+                   probed(To, Result);
+                 });
+  }
   Timers_.after(ready() ? ProbeInterval : SearchInterval, [this] { probe(); });
 }
 
@@ -192,7 +206,7 @@
                         const Outcome<Json::Value> &Result) {
   if (!Result)
     return lost(From, Result.error().Message.c_str());
-  Exchange_.Take(*Result);
+  Exchange_.Take(*Result, From);
   auto Members = attempt([&] { return json::readArray(*Result, "members"); });
   if (Members)
     for (const Json::Value &Each : *Members) {
--- a/src/jobs/internal/jobgateway.h
+++ b/src/jobs/internal/jobgateway.h
@@ -21,11 +21,12 @@
 public:
   using Callback = IJobGateway::Callback;
   /// Makes the question that is put to control VMs from time to time, and takes
-  /// their answers.
+  /// their answers and who gave them.
   struct Sync {
     std::function<Json::Value()> Ask;
-    std::function<void(const Json::Value &)> Take;
+    std::function<void(const Json::Value &, const Endpoint &)> Take;
   };
+  using FetchCallback = std::function<void(const Outcome<Json::Value> &)>;
 
   /// \p ControlVms are those that the settings name; others are learned. All
   /// references outlive the gateway, which lives as long as the loop.
@@ -42,6 +43,13 @@
   /// Starts to look for the leader and to exchange what changes; called once.
   void start();
   void addControlVms(const std::vector<Endpoint> &Found);
+  /// Asks one control VM for something large.
+  void fetch(const Endpoint &From, const char *Method, Json::Value Params,
+             Duration Timeout, FetchCallback Done);
+  /// The control VM that the \p Number-th asker should ask for what all have.
+  Endpoint spread(std::size_t Number) const {
+    return ControlVms_[Number % ControlVms_.size()];
+  }
 
 private:
   struct Ask;
@@ -66,6 +74,7 @@
   const Sync Exchange_;
   std::optional<Endpoint> Leader_;
   std::size_t NextVm_ = 0;
+  std::size_t ProbesUnderWay_ = 0;
   /// When a leader last said that it can serve.
   std::optional<Time> ReadyAt_;
 };
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -7,18 +7,24 @@
 //   jobs.state   {host, path} -> answer
 //   jobs.cancel  {host, path} -> answer
 //   jobs.pending {host, path} -> answer
-//   jobs.sync    {entry, configuration, workers_of, workers_change}
-//     -> {leader, ready, members, schedules, configuration, document?,
-//         workers_of?, workers_change?, workers?, entries?}
+//   jobs.sync    {entry, data_centre, configuration, workers_of,
+//                 workers_change, owned?: {POOL: CLAIM}}
+//     -> {leader, ready, members, schedules, configuration?, document?,
+//         large_document?, workers_of?, workers_change?, workers?, removed?,
+//         many_workers?, entries?: [{at, data_centre}], by_rack?,
+//         owners?: {POOL: CLAIM}}
 //     from an entry: what has changed since what it has. Only the leader tells
-//     of workers and entries.
-//   pool.ping    {from, CLAIM, echo_us, stopping} -> {CLAIM, stamp_us,
-//   stopping}
-//     where CLAIM is owner, token, highest, workers? (of an owner), rival?,
-//     rival_token?
-//   pool.run     {job, left_us, origin, serial, echo_us,
-//                 maybe_taken?} -> answer, or
-//   {owner, token, not_owner} pool.drop    {job, origin, serial} -> {}
+//     of workers, entries and owners. What is large is named only.
+//   jobs.document {} -> {configuration, document}; any control VM has it
+//   jobs.workers {workers_of, workers_change}
+//     -> {workers_of, workers_change, workers, removed?} or {leader}
+//   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, stopping}
+//     -> {pools: {POOL: CLAIM}, stamp_us, stopping}
+//     where CLAIM is owner, token, highest, workers? and load? (of an owner),
+//     lets_go?, rival?, rival_token?
+//   pool.run     {pool, job, left_us, origin, incarnation, serial, echo_us,
+//                 maybe_taken?} -> answer, or CLAIM with not_owner
+//   pool.drop    {pool, job, origin, incarnation, serial} -> {}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
@@ -46,6 +52,8 @@
 constexpr const char *Cancel = "jobs.cancel";
 constexpr const char *Pending = "jobs.pending";
 constexpr const char *Sync = "jobs.sync";
+constexpr const char *Document = "jobs.document";
+constexpr const char *Workers = "jobs.workers";
 constexpr const char *Ping = "pool.ping";
 constexpr const char *Run = "pool.run";
 constexpr const char *Drop = "pool.drop";
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -30,6 +30,12 @@
 constexpr Duration EntriesDelay = std::chrono::milliseconds(300);
 /// An owner of a pool says so with every question, several times a second.
 constexpr Duration OwnerWordLasts = std::chrono::seconds(2);
+/// What comes with the answer to an entry's frequent question. Larger things
+/// are fetched once, without haste: a leader with half a core cannot send a
+/// document of a thousand queues to forty entries within the 400 ms after which
+/// they ask again, and would be asked again for ever.
+constexpr std::size_t MaxDocumentInSync = std::size_t{16} << 10U;
+constexpr std::size_t MaxWorkersInSync = 50;
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
 
@@ -89,6 +95,8 @@
   Offer(wire::method::Pending, &JobService::pending);
   Offer(wire::method::Share, &JobService::takeShared);
   Offer(wire::method::Sync, &JobService::sync);
+  Offer(wire::method::Document, &JobService::document);
+  Offer(wire::method::Workers, &JobService::workers);
   auto Acknowledged = [](const Reply &Answer) {
     return [Answer](const Outcome<Done> &Was) {
       if (Was)
@@ -203,13 +211,10 @@
   Result["schedules"] = Scheduler_ != nullptr;
   for (const Endpoint &Member : Needs_.Log.memberAddresses())
     Result["members"].append(Member.text());
-  const control::ConfigSnapshot &Config = Needs_.Log.configuration();
   auto Has =
       attempt([&] { return json::readUintOr(Params, "configuration", 0); });
-  if (Has && ConfigVersion(*Has) < Config.Version) {
-    Result["configuration"] = Json::UInt64(Config.Version.value());
-    Result["document"] = Config.Document;
-  }
+  if (Has && ConfigVersion(*Has) < Needs_.Log.configuration().Version)
+    tellDocument(false, Result);
   if (serves())
     tellEntry(Params, Result);
   Answer(std::move(Result));
@@ -233,7 +238,7 @@
     }
   Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
   tellOwners(Params, Into);
-  tellWorkers(Params, Into);
+  tellWorkers(Params, false, Into);
 }
 
 void JobService::tellOwners(const Json::Value &Params, Json::Value &Into) {
@@ -249,17 +254,46 @@
     Into["owners"][Name.value()] = Told.Claim;
 }
 
-void JobService::tellWorkers(const Json::Value &Params, Json::Value &Into) {
+void JobService::document(const Json::Value & /*Params*/, const Reply &Answer) {
+  Json::Value Result(Json::objectValue);
+  tellDocument(true, Result);
+  Answer(std::move(Result));
+}
+
+void JobService::workers(const Json::Value &Params, const Reply &Answer) {
+  if (!serves())
+    return Answer(redirection());
+  Json::Value Result(Json::objectValue);
+  tellWorkers(Params, true, Result);
+  Answer(std::move(Result));
+}
+
+void JobService::tellDocument(bool Any, Json::Value &Into) const {
+  const control::ConfigSnapshot &Config = Needs_.Log.configuration();
+  if (!Any && Config.Document.size() > MaxDocumentInSync) {
+    Into["large_document"] = Json::UInt64(Config.Version.value());
+    return;
+  }
+  Into["configuration"] = Json::UInt64(Config.Version.value());
+  Into["document"] = Config.Document;
+}
+
+void JobService::tellWorkers(const Json::Value &Params, bool Any,
+                             Json::Value &Into) {
   auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
   bool SameTerm = Of && Change && *Of == Term_->value();
   if (SameTerm && *Change == Directory_.Changes)
     return;
+  DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
+  if (!Any && News.Changed.size() > MaxWorkersInSync) {
+    Into["many_workers"] = true;
+    return;
+  }
   Into["workers_of"] = Json::UInt64(Term_->value());
   Into["workers_change"] = Json::UInt64(Directory_.Changes);
   Into["workers"] = Json::Value(Json::arrayValue);
-  DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
   for (const KnownWorker *Each : News.Changed)
     Into["workers"].append(write(Each->Info));
   for (const WorkerId &Each : News.Removed)
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -69,7 +69,11 @@
   /// What has changed for the entry that asks.
   void tellEntry(const Json::Value &Params, Json::Value &Into);
   void tellOwners(const Json::Value &Params, Json::Value &Into);
-  void tellWorkers(const Json::Value &Params, Json::Value &Into);
+  /// With \p Any also a list that is too long to come with every answer.
+  void tellWorkers(const Json::Value &Params, bool Any, Json::Value &Into);
+  void tellDocument(bool Any, Json::Value &Into) const;
+  void document(const Json::Value &Params, const Reply &Answer);
+  void workers(const Json::Value &Params, const Reply &Answer);
   /// Divides the workers by racks once they are too many for one pool.
   void divideIfLarge();
   void sync(const Json::Value &Params, const Reply &Answer);
