--- /dev/null
+++ b/src/jobs/tests/controlfake.h
@@ -0,0 +1,74 @@
+//===- controlfake.h - A control VM with the real job service ---*- C++ -*-===//
+//
+// The job service of a control VM that leads, over a log that commits at once.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_JOBS_TESTS_CONTROLFAKE_H
+#define GERANIUMBAY_JOBS_TESTS_CONTROLFAKE_H
+
+#include "jobs/internal/jobservice.h"
+#include "jobs/tests/entryfake.h"
+
+namespace geraniumbay::jobs {
+
+/// A log of one member, which leads.
+class FakeLog : public control::IReplicatedLog {
+public:
+  FakeLog(ITimers &Timers, Endpoint Self)
+      : Timers_(Timers), Self_(std::move(Self)) {}
+
+  std::optional<control::LeaderTerm> leadsIn() const override {
+    return control::LeaderTerm(1);
+  }
+  bool holdsLease() const override { return true; }
+  std::optional<Endpoint> leaderAddress() const override { return Self_; }
+  std::vector<Endpoint> memberAddresses() const override { return {Self_}; }
+  void append(std::string Batch,
+              std::function<void(Outcome<Done>)> Done) override;
+  const control::ConfigSnapshot &configuration() const override {
+    return Config;
+  }
+  void
+  change(control::ConfigChange /*Change*/,
+         std::function<void(Outcome<control::ConfigAnswer>)> Answer) override {
+    Answer(Error{ErrorCode::Unavailable, "not offered here"});
+  }
+  void onChanged(std::function<void()> /*Run*/) override {
+    // Nothing changes.
+  }
+  void handOver() override {
+    // There is nobody else.
+  }
+
+  control::ConfigSnapshot Config;
+  ReplicatedJobs Jobs;
+
+private:
+  ITimers &Timers_;
+  const Endpoint Self_;
+};
+
+/// Takes the place of the scripted control VM of an EntryFake.
+class ControlFake {
+public:
+  /// \p Document is what entries read.
+  ControlFake(EntryFake &Fake, const std::string &Document);
+
+private:
+  void announceAll();
+
+  EntryFake &Fake_;
+  const Endpoint At_;
+  FakePeerRpc Rpc_;
+  FakeWorkerCalls Workers_;
+  std::uint64_t Sequence_ = 0;
+
+public:
+  FakeLog Log;
+  JobService Service;
+};
+
+} // namespace geraniumbay::jobs
+
+#endif // GERANIUMBAY_JOBS_TESTS_CONTROLFAKE_H
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -31,6 +31,23 @@
 
 } // namespace
 
+RetVal<Routing> readOneQueue(const std::string & /*Document*/) {
+  return oneQueue();
+}
+
+Duration FakePeerNet::writingTime(const Endpoint &By,
+                                  const Outcome<Json::Value> &Answer) {
+  auto Rate = BytesPerMilli.find(By.Address);
+  if (Rate == BytesPerMilli.end() || !Answer)
+    return Duration(0);
+  double Millis =
+      static_cast<double>(json::write(*Answer).size()) / Rate->second;
+  Time &Busy = BusyUntil_[By.Address];
+  Busy = std::max(Busy, Clock_.now()) +
+         Duration(static_cast<Duration::rep>(Millis * 1000));
+  return Busy - Clock_.now();
+}
+
 void FakePeerNet::call(const Endpoint &From, const Endpoint &To,
                        const std::string &Method, const Json::Value &Params,
                        Duration Timeout, IRpcClient::Callback Done) {
@@ -54,7 +71,8 @@
     Server->second.at(Method)(
         Params, [this, From, To, Finish](const Outcome<Json::Value> &Result) {
           if (!Faults_.isCut(From.Address, To.Address))
-            Timers_.after(Way, [Finish, Result] { Finish(Result); });
+            Timers_.after(Way + writingTime(To, Result),
+                          [Finish, Result] { Finish(Result); });
         });
   });
 }
@@ -126,9 +144,7 @@
   EntryNeeds Needs{*New.Workers, Clock, Timers, Measured, *New.Rpc, *New.Rpc};
   New.Jobs = std::make_unique<EntryJobs>(
       Needs, EntryPlace{New.At, DataCentreId(dataCentreOf(New.At))},
-      std::vector<Endpoint>{Control_},
-      [](const std::string &) -> RetVal<Routing> { return oneQueue(); },
-      LeaseSettings());
+      std::vector<Endpoint>{Control_}, readOneQueue, LeaseSettings());
   New.Jobs->start();
 }
 
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -18,20 +18,28 @@
 /// Calls between processes, a millisecond each way.
 class FakePeerNet {
 public:
-  explicit FakePeerNet(ITimers &Timers, WorkerFaults &Faults)
-      : Timers_(Timers), Faults_(Faults) {}
+  FakePeerNet(const IClock &Clock, ITimers &Timers, WorkerFaults &Faults)
+      : Clock_(Clock), Timers_(Timers), Faults_(Faults) {}
 
   void call(const Endpoint &From, const Endpoint &To, const std::string &Method,
             const Json::Value &Params, Duration Timeout,
             IRpcClient::Callback Done);
 
   std::map<Endpoint, std::map<std::string, IRpcServer::Method>> Servers;
+  /// How fast the processes of a host write their answers, one after the other;
+  /// at once if it is not named.
+  std::map<std::string, double> BytesPerMilli;
   /// A cut refuses connections in the name of the other side.
   bool CutsRefuse = false;
 
 private:
+  /// How long the answer waits for those before it and is written itself.
+  Duration writingTime(const Endpoint &By, const Outcome<Json::Value> &Answer);
+
+  const IClock &Clock_;
   ITimers &Timers_;
   WorkerFaults &Faults_;
+  std::map<std::string, Time> BusyUntil_;
 };
 
 class FakePeerRpc : public IRpcServer, public IRpcClient {
@@ -57,6 +65,9 @@
   Endpoint Self_;
 };
 
+/// Reads any document as one queue at /q/.
+RetVal<Routing> readOneQueue(const std::string &Document);
+
 /// One entry.
 struct FakeEntry {
   Endpoint At;
@@ -98,12 +109,14 @@
   void join();
   /// The entries that own a pool.
   std::vector<std::size_t> owners() const;
+  const Endpoint &controlAddress() const { return Control_; }
+  const std::vector<WorkerInfo> &announced() const { return Announced_; }
 
   ManualClock Clock;
   TimerQueue Timers{Clock};
   WorkerFaults Faults;
   FakeWorkers Workers{Clock, Timers, Faults};
-  FakePeerNet Net{Timers, Faults};
+  FakePeerNet Net{Clock, Timers, Faults};
   Metrics Measured;
   std::vector<FakeEntry> Entries;
   bool ControlAway = false;
--- /dev/null
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -0,0 +1,91 @@
+//===- jobservicetest.cpp - What control tells entries --------------------===//
+//
+// Entries with the real job service of a control VM: workers and documents of
+// any size reach them, workers that leave are forgotten, and many workers are
+// divided by racks.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/tests/controlfake.h"
+
+#include <gtest/gtest.h>
+
+namespace geraniumbay::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+bool served(const std::shared_ptr<Submitted> &Job) {
+  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
+         Job->Answer->State == JobState::Completed;
+}
+
+bool allServe(EntryFake &Fake) {
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 0; I < Fake.Entries.size(); ++I)
+    Jobs.push_back(Fake.submit(I, "job" + std::to_string(I), 1));
+  Fake.run(2s);
+  return std::all_of(Jobs.begin(), Jobs.end(), served);
+}
+
+TEST(JobServiceTest, FewWorkersStayOnePool) {
+  EntryFake Fake(2, 10);
+  ControlFake Control(Fake, "document");
+  Fake.run(3s);
+  EXPECT_EQ(Control.Log.Jobs.store().Plan, PoolPlan::One);
+  EXPECT_EQ(Fake.owners().size(), 1U);
+  EXPECT_TRUE(allServe(Fake));
+}
+
+TEST(JobServiceTest, ManyWorkersAreDividedByRacks) {
+  EntryFake Fake(2, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  EXPECT_EQ(Control.Log.Jobs.store().Plan, PoolPlan::ByRack);
+  EXPECT_EQ(Fake.owners().size(), 4U);
+  EXPECT_TRUE(allServe(Fake));
+  EXPECT_TRUE(Fake.Workers.Doubled.empty());
+}
+
+// A control VM that needs 25 ms for a document of a thousand queues, asked by
+// twenty entries that start at once.
+TEST(JobServiceTest, ALargeDocumentReachesAllEntriesOfASlowControlVm) {
+  EntryFake Fake(10, 100);
+  constexpr std::size_t LargeDocument = 250'000;
+  constexpr double SlowBytesPerMilli = 10'000;
+  Fake.Net.BytesPerMilli[Fake.controlAddress().Address] = SlowBytesPerMilli;
+  ControlFake Control(Fake, std::string(LargeDocument, ' '));
+  Fake.run(5s);
+  for (const FakeEntry &Each : Fake.Entries)
+    EXPECT_TRUE(Each.Jobs->ready()) << Each.At.text();
+  EXPECT_TRUE(allServe(Fake));
+}
+
+TEST(JobServiceTest, ADirectoryTellsWhatHasChanged) {
+  WorkerDirectory Directory;
+  WorkerInfo Info;
+  for (const char *Name : {"a", "b"}) {
+    Info.Worker = WorkerId(Name);
+    announce(Directory, Info, Time());
+  }
+  std::uint64_t Known = Directory.Changes;
+  EXPECT_TRUE(changesSince(Directory, 0).Whole);
+  EXPECT_TRUE(changesSince(Directory, Known).Changed.empty());
+  Info.Sequence = 1;
+  Info.Draining = true;
+  announce(Directory, Info, Time());
+  leave(Directory, WorkerId("a"));
+  DirectoryChanges News = changesSince(Directory, Known);
+  ASSERT_EQ(News.Changed.size(), 1U);
+  EXPECT_TRUE(News.Changed.front()->Info.Draining);
+  EXPECT_EQ(News.Removed, std::vector<WorkerId>{WorkerId("a")});
+  for (std::size_t I = 0; I <= MaxRemovals; ++I) {
+    Info.Worker = WorkerId("more" + std::to_string(I));
+    announce(Directory, Info, Time());
+    leave(Directory, Info.Worker);
+  }
+  EXPECT_TRUE(changesSince(Directory, Known).Whole);
+}
+
+} // namespace
+} // namespace geraniumbay::jobs
