--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -87,7 +87,8 @@
         self.sequence = itertools.count(1)
         self.state = "ready"
         self.alive = True
-        self.server = QuietServer((ip, port), self._handler())
+        listen_ip, _ = fleet.worker_listens_at(self.address).split(":")
+        self.server = QuietServer((listen_ip, port), self._handler())
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
@@ -260,8 +261,9 @@
         self.process = None
         self.first = True
 
-    def start(self):
-        settings = {
+    def settings(self):
+        """The settings file, under the platform's names."""
+        return {
             "node_name": self.name,
             "role": self.role,
             "serves": ["edge" if self.role == "edge" else "control_plane"],
@@ -278,6 +280,9 @@
             "data_dir": self.disk if self.role == "core" else None,
             "bounds": {"max_hold_ms": MAX_LEASE_MS, "grace_s": 6},
         }
+
+    def start(self):
+        settings = self.settings()
         self.first = False
         path = os.path.join(self.folder, "settings.json")
         with open(path, "w") as file:
@@ -310,6 +315,8 @@
 class Fleet:
     """Three control VMs, some entries and some workers."""
 
+    machine_type = Machine
+
     def __init__(self, entries=3, workers=3):
         self.folder = tempfile.mkdtemp(prefix="geraniumbay-")
         self.lock = threading.Lock()
@@ -318,17 +325,28 @@
         self.starts = 0
         self.port = self._free_ports()
         base = f"127.0.{random.randrange(20, 200)}."
-        self.core = [Machine(self, f"{base}{i}", "core") for i in (1, 2, 3)]
+        self.core = [
+            self.machine_type(self, f"{base}{i}", "core") for i in (1, 2, 3)
+        ]
         self.entries = [
-            Machine(self, f"{base}{10 + i}", "edge") for i in range(entries)
+            self.machine_type(self, f"{base}{10 + i}", "edge")
+            for i in range(entries)
         ]
         self.workers = [
             Worker(self, f"{base}{100 + i}", self.port, f"i-{i}")
             for i in range(workers)
         ]
+        self.prepare()
         for machine in self.core + self.entries:
             machine.start()
 
+    def prepare(self):
+        """Called before any process starts."""
+
+    def worker_listens_at(self, address):
+        """Where a worker listens that announces this address."""
+        return address
+
     @staticmethod
     def _free_ports():
         for _ in range(50):
