--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -92,6 +92,7 @@
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
+        threading.Thread(target=self._watch, daemon=True).start()
 
     def clock(self):
         return int(time.monotonic() * 1000)
@@ -101,6 +102,13 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def _watch(self):
+        """Ends runs in time also while nobody calls."""
+        while self.alive:
+            with self.lock:
+                self._settle()
+            time.sleep(0.01)
+
     def _beat(self):
         while self.alive:
             body = {
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -51,6 +51,13 @@
             self.loop.call_soon_threadsafe(self._reset, link, mode)
 
     def close(self):
+        async def end():
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        asyncio.run_coroutine_threadsafe(end(), self.loop).result()
         self.loop.call_soon_threadsafe(self.loop.stop)
 
     def _reset(self, link, mode):
