Start no task of a stored job while its end is on its way into the log

Cause: when the end of one task was recorded, all tasks of its job that the log did not show as done were queued again, those whose end was just being recorded too: they ran a second time. The ends of failed runs count too: such a task might start beyond its limit. Ruled out: hold calls that list ended runs (run_unwanted never logged).

--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -141,7 +141,7 @@
 void Scheduler::enqueue(const TaskId &Id) {
   const TaskRecord *Record = taskOf(Id);
   if (!Record || Record->Done || Places_.count(Id) != 0 ||
-      Ranks_.count(Id) != 0)
+      Ranks_.count(Id) != 0 || Ending_.count(Id) != 0)
     return;
   const Job &Of = *jobOf(Id.Job);
   if (mayHaveEarlierRun(Of) || !dependenciesDone(Of, Id.Step))
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -197,6 +197,9 @@
   /// The order of the active jobs.
   std::unordered_map<JobId, std::uint64_t> Orders_;
   std::uint64_t LastOrder_ = 0;
+  /// Tasks whose end is on its way into the log. They must not start before it
+  /// is there: it may be done, or have failed for the last time.
+  std::unordered_set<TaskId> Ending_;
   std::unordered_map<TaskId, RunNumber> LastRuns_;
   std::unordered_set<JobId> Begun_;
   /// Jobs that have ended, oldest first, with the time.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -191,7 +191,8 @@
 void Scheduler::found(WorkerSession &On, const RunningTask &Task, bool Fresh) {
   const Job *Of = jobOf(Task.Task.Job);
   const TaskRecord *Record = taskOf(Task.Task);
-  if (Record && !Record->Done && Places_.count(Task.Task) == 0)
+  bool Wanted = Record && !Record->Done && Ending_.count(Task.Task) == 0;
+  if (Wanted && Places_.count(Task.Task) == 0)
     return adopt(On, Task);
   // The entry that waits for an unknown job hands it in again.
   bool Kept = Fresh || Orphans_.count(Task.Task) != 0;
@@ -266,6 +267,8 @@
 void Scheduler::recordDurably(const WorkerId &Worker, std::uint64_t Upto,
                               JobChanges Changes) {
   JobChanges Copy = Changes;
+  for (const TaskEnd &End : Changes.Ended)
+    Ending_.insert(End.Task);
   Batches_->add(std::move(Changes),
                 [this, Alive = Alive_, Worker, Upto,
                  Ends = std::move(Copy)](const Outcome<Done> &Was) {
@@ -273,6 +276,8 @@
                   // more; the next one finds the ends at the worker.
                   if (!*Alive || !Was)
                     return;
+                  for (const TaskEnd &End : Ends.Ended)
+                    Ending_.erase(End.Task);
                   committed(Ends);
                   WorkerSession *With = session(Worker);
                   if (!With)
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -178,9 +178,9 @@
 
 std::shared_ptr<Submitted> EntryFake::submit(std::size_t Entry,
                                              const std::string &Job,
-                                             std::uint32_t Tasks) {
+                                             std::uint32_t Tasks, bool Stored) {
   JobSpec Spec;
-  Spec.Transient = true;
+  Spec.Transient = !Stored;
   Spec.Payload = "payload";
   StepSpec Step;
   Step.Count = Tasks;
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -97,7 +97,8 @@
   /// Runs until each rack's pool has an owner that all hear of.
   void settleByRack();
   std::shared_ptr<Submitted> submit(std::size_t Entry, const std::string &Job,
-                                    std::uint32_t Tasks = 2);
+                                    std::uint32_t Tasks = 2,
+                                    bool Stored = false);
   /// Ends the process; start() brings it back without what it knew.
   void crash(std::size_t Entry);
   void start(std::size_t Entry);
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -47,6 +47,27 @@
   EXPECT_TRUE(Fake.Workers.Doubled.empty());
 }
 
+// The ends of a job's tasks come one after the other, and each is on its way
+// through the log while the next ones come.
+TEST(JobServiceTest, AStoredJobStartsEachTaskOnce) {
+  EntryFake Fake(1, 4);
+  ControlFake Control(Fake, "document");
+  Fake.run(3s);
+  std::uint64_t Tasks = 0;
+  for (std::uint32_t I = 0; I < 8; ++I) {
+    Fake.Workers.TaskTime = std::chrono::milliseconds(40 + 9 * I);
+    auto Job = Fake.submit(I % 2, "stored" + std::to_string(I), 11, true);
+    Tasks += 11;
+    Fake.run(45ms);
+    EXPECT_TRUE(Job->Answer && Job->Answer->Outcome == JobOutcome::Accepted);
+  }
+  Fake.run(3s);
+  EXPECT_EQ(Fake.Workers.Starts, Tasks);
+  EXPECT_TRUE(Fake.Workers.Doubled.empty());
+  for (const auto &[Id, Each] : Control.Log.Jobs.store().Jobs)
+    EXPECT_EQ(Each.State, JobState::Completed) << Id.value();
+}
+
 // A control VM that needs 25 ms for a document of a thousand queues, asked by
 // twenty entries that start at once.
 TEST(JobServiceTest, ALargeDocumentReachesAllEntriesOfASlowControlVm) {
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -70,7 +70,11 @@
         host, port = link.listen.split(":")
 
         async def accept(reader, writer):
-            await self._carry(link, reader, writer)
+            try:
+                await self._carry(link, reader, writer)
+            except asyncio.CancelledError:
+                # The soak has ended.
+                abort(writer)
 
         await asyncio.start_server(accept, host, int(port))
 
