--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -61,7 +61,8 @@
   Json::Value askControl() const;
   void takeControl(const Json::Value &Result, const Endpoint &From);
   /// Asks \p From for the document; \p OrElse is asked if that fails.
-  void fetchDocument(const Endpoint &From, std::optional<Endpoint> OrElse);
+  void fetchDocument(const Endpoint &From,
+                     const std::optional<Endpoint> &OrElse);
   void fetchWorkers(const Endpoint &Leader);
   void takeDocument(const Json::Value &Result);
   void takePlan(const Json::Value &Result);
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -63,7 +63,7 @@
 }
 
 void EntryJobs::fetchDocument(const Endpoint &From,
-                              std::optional<Endpoint> OrElse) {
+                              const std::optional<Endpoint> &OrElse) {
   if (FetchesDocument_)
     return;
   FetchesDocument_ = true;
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -118,7 +118,7 @@
   Fake.run(2s);
   ASSERT_EQ(Fake.owners(), (std::vector<std::size_t>{0, 2, 3}));
   std::vector<std::shared_ptr<Submitted>> Jobs;
-  for (int I = 0; I < 30; ++I) {
+  for (std::size_t I = 0; I < 30; ++I) {
     if (I == 5)
       Fake.start(1);
     Jobs.push_back(Fake.submit(I % 2 * 2, "job" + std::to_string(I), 1));
