Distrust workers that fail several tasks in a row

Change: after four first tries in a row that failed a worker pauses for 0.4 s, doubling to 6.4 s, and shows itself with one task after each pause; a task goes back to where it failed only if nobody else has room.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -107,12 +107,21 @@
 WorkerSession *Scheduler::bestWorker(const WaitingTask &Task, Time Now) {
   const StepSpec &Step = jobOf(Task.Id.Job)->Spec.Steps[Task.Id.Step];
   WorkerSession *Best = nullptr;
+  WorkerSession *Again = nullptr;
   std::uint32_t LeastLeft = UINT32_MAX;
+  auto FailedAt = FailedAt_.find(Task.Id);
   for (auto &[Id, Each] : Sessions_) {
     if (!Each.Known || Each.Silent || Each.Foreign || Each.Info.Draining ||
         Each.RestUntil > Now || Each.Info.Service != Task.Service ||
-        !hasRoom(Each, Task.Needs) || !suits(Each, Step, Task.Id))
+        !hasRoom(Each, Task.Needs) || !suits(Each, Step, Task.Id) ||
+        !isTrusted(Each))
       continue;
+    // Where a run of it has failed it goes only if nobody else has room.
+    bool Failed = FailedAt != FailedAt_.end() && FailedAt->second == Id;
+    if (Failed) {
+      Again = &Each;
+      continue;
+    }
     std::uint32_t Left = Each.Info.Capacity.CpuMillis - Each.Used.CpuMillis -
                          Task.Needs.CpuMillis;
     if (Best && Left >= LeastLeft)
@@ -120,7 +129,7 @@
     Best = &Each;
     LeastLeft = Left;
   }
-  return Best;
+  return Best ? Best : Again;
 }
 
 RunNumber Scheduler::nextRun(const Job &Of, const TaskId &Task) {
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -207,6 +207,8 @@
   Needs_.Measured.count("geraniumbay_jobs_ended_total", "Jobs that ended.",
                         {{"state", State}});
   forgetWaiting(Id);
+  std::erase_if(FailedAt_,
+                [&](const auto &Entry) { return Entry.first.Job == Id; });
   stopRunsOf(Id);
   if (!isTransient(Id)) {
     Begun_.erase(Id);
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -211,6 +211,8 @@
   /// Tasks whose end is on its way into the log. They must not start before it
   /// is there: it may be done, or have failed for the last time.
   std::unordered_set<TaskId> Ending_;
+  /// Where each task that waits for another try has failed last.
+  std::unordered_map<TaskId, WorkerId> FailedAt_;
   std::unordered_map<TaskId, RunNumber> LastRuns_;
   std::unordered_set<JobId> Begun_;
   /// Jobs that have ended, oldest first, with the time.
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr int Percent = 100;
+/// How long a distrusted worker gets nothing; the pause doubles with each task
+/// that fails again, up to 6.4 s. Trouble of workers lasts some seconds.
+constexpr Duration FirstDistrustPause = std::chrono::milliseconds(400);
+constexpr std::uint32_t MaxDoublings = 4;
 
 bool lists(const std::vector<RunningTask> &Running, const TaskId &Task,
            RunNumber Number) {
@@ -140,6 +144,26 @@
   Session.Runs.erase(Found);
 }
 
+void noteEnd(WorkerSession &Session, bool Succeeded, bool FirstTry, Time Now) {
+  if (Succeeded) {
+    Session.FailedInRow = 0;
+    return;
+  }
+  if (!FirstTry)
+    return;
+  ++Session.FailedInRow;
+  if (Session.FailedInRow < DistrustedAfter)
+    return;
+  std::uint32_t Doublings =
+      std::min(Session.FailedInRow - DistrustedAfter, MaxDoublings);
+  Session.RestUntil =
+      std::max(Session.RestUntil, Now + FirstDistrustPause * (1U << Doublings));
+}
+
+bool isTrusted(const WorkerSession &Session) {
+  return Session.FailedInRow < DistrustedAfter || Session.Runs.empty();
+}
+
 HoldFindings takeHold(WorkerSession &Session, const HoldAnswer &Answer,
                       Time Now) {
   HoldFindings Out;
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -59,6 +59,8 @@
   /// The worker refused work; it gets none before this time.
   Time RestUntil;
 
+  /// First runs of tasks that failed there since one ended well.
+  std::uint32_t FailedInRow = 0;
   /// Tasks run there that this owner does not know, and another owner that is
   /// out of reach may count on their lease to end. So no lease is given, nor
   /// anything started, before they have gone.
@@ -117,6 +119,18 @@
 /// Removes the run if it is there.
 void removeRun(WorkerSession &Session, const TaskId &Task);
 
+/// A worker on which so many tasks in a row have failed is distrusted: a worker
+/// that fails all it starts is always free and draws every task. Four in a row
+/// happen by chance once in 600 where a fifth of all tasks cannot be done.
+constexpr std::uint32_t DistrustedAfter = 4;
+
+/// Notes how a run ended there. \p FirstTry: the task has not failed before, so
+/// that a task which cannot be done blames one worker only.
+void noteEnd(WorkerSession &Session, bool Succeeded, bool FirstTry, Time Now);
+/// Whether the worker may get another task: a distrusted one gets a single task
+/// to show itself after each pause.
+bool isTrusted(const WorkerSession &Session);
+
 /// What a hold answer shows.
 struct HoldFindings {
   /// The answer is newer than all before. An answer that was overtaken tells of
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -263,6 +263,17 @@
                 {"failures", Record->Failures}});
     if (End.How == EndKind::Other || !Record || Record->Done)
       continue;
+    bool Succeeded = End.How == EndKind::Done;
+    noteEnd(On, Succeeded, Record->Failures == 0, Needs_.Clock.now());
+    if (Succeeded)
+      FailedAt_.erase(End.Task);
+    else
+      FailedAt_[End.Task] = On.Info.Worker;
+    if (On.FailedInRow == DistrustedAfter && !Succeeded)
+      logEvent(LogLevel::Warning, Module, "worker_distrusted",
+               {{"worker", On.Info.Worker},
+                {"failed_in_row", On.FailedInRow},
+                {"runs", On.Runs.size()}});
     JobChanges &Into = isTransient(End.Task.Job) ? Passing : Durable;
     Into.Ended.push_back({End.Task, End.Run, End.How == EndKind::Done});
   }
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -131,6 +131,36 @@
   EXPECT_TRUE(served(Job));
 }
 
+// It is always free, so that it would draw every task and fail most jobs.
+TEST(EntryJobsTest, AWorkerThatFailsEverythingGetsFewTasks) {
+  EntryFake Fake(1, 3);
+  Fake.Workers.TaskTime = 100ms;
+  Fake.settle();
+  Fake.Workers.Broken.insert(WorkerId("w-10.1.1.1"));
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (int I = 0; I < 60; ++I) {
+    Jobs.push_back(Fake.submit(0, "job" + std::to_string(I), 2));
+    Fake.run(40ms);
+  }
+  Fake.run(1s);
+  for (const auto &Job : Jobs)
+    EXPECT_TRUE(served(Job));
+  EXPECT_LE(Fake.Workers.StartsOnBroken, 12U);
+  // Mended, it works again after its pause.
+  Fake.Workers.Broken.clear();
+  Fake.run(7s);
+  std::uint64_t Before = Fake.Workers.Starts;
+  std::vector<std::shared_ptr<Submitted>> Wide;
+  for (int I = 0; I < 10; ++I) {
+    Wide.push_back(Fake.submit(0, "wide" + std::to_string(I), 12));
+    Fake.run(150ms);
+  }
+  Fake.run(2s);
+  EXPECT_EQ(Fake.Workers.Starts - Before, 120U);
+  for (const auto &Job : Wide)
+    EXPECT_TRUE(served(Job));
+}
+
 // An entry that knows no other yet must not take the workers from their owner.
 TEST(EntryJobsTest, ARestartedEntryFollowsTheOwner) {
   EntryFake Fake(2, 2);
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -115,15 +115,17 @@
   ++Starts;
   std::uint64_t Serial = ++LastSerial_;
   At.Tasks[Order.Task] = {Order.Run, Serial};
-  bool Fails = Rng.below(100) < FailPercent;
-  Timers_.after(
-      TaskTime, [this, Id = At.Info.Worker, Task = Order.Task, Serial, Fails] {
-        Worker &There = Workers_[Id];
-        checkLease(There);
-        auto Still = There.Tasks.find(Task);
-        if (Still != There.Tasks.end() && Still->second.Serial == Serial)
-          end(There, Task, Fails ? EndKind::Failed : EndKind::Done);
-      });
+  bool IsBroken = Broken.count(At.Info.Worker) != 0;
+  StartsOnBroken += IsBroken ? 1 : 0;
+  bool Fails = IsBroken || Rng.below(100) < FailPercent;
+  Timers_.after(IsBroken ? Way : TaskTime, [this, Id = At.Info.Worker,
+                                            Task = Order.Task, Serial, Fails] {
+    Worker &There = Workers_[Id];
+    checkLease(There);
+    auto Still = There.Tasks.find(Task);
+    if (Still != There.Tasks.end() && Still->second.Serial == Serial)
+      end(There, Task, Fails ? EndKind::Failed : EndKind::Done);
+  });
   return Answer;
 }
 
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -44,12 +44,15 @@
   /// How long tasks take, and how many out of a hundred fail.
   Duration TaskTime = std::chrono::milliseconds(200);
   std::uint64_t FailPercent = 0;
+  /// Workers on which every task fails at once.
+  std::set<WorkerId> Broken;
   Random Rng{1};
 
   // What was seen.
   /// Tasks of which two runs were there at one time.
   std::set<TaskId> Doubled;
   std::uint64_t Starts = 0;
+  std::uint64_t StartsOnBroken = 0;
   std::uint64_t RoomRefusals = 0;
 
   std::size_t running() const;
