Start nothing that has lain at an owner for long

Test: AnOwnerStartsNothingThatHasLainForLong (fails without). Ruled out: a second sending by the same entry (all paths that choose another pool leave the job untaken).

--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -272,6 +272,14 @@
     return Answer(NotOwner(In, false));
   noteIncarnation(*Origin, Params);
   noteEcho(*Origin, Params);
+  // A message that has lain here, as while this VM stood still: the job's
+  // caller may have come back at another entry meanwhile, and be served
+  // elsewhere.
+  if (Needs_.Clock.now() - Contacts_[*Origin] >= OwnerSilence) {
+    logEvent(LogLevel::Warning, Module, "job_stale",
+             {{"job", Wanted->Id}, {"origin", Origin->text()}});
+    return Answer(NotOwner(In, false));
+  }
   In->scheduler()->run(std::move(*Wanted),
                        Duration(static_cast<Duration::rep>(*Left)),
                        waiterOf(Params, *Origin), flag(Params, "maybe_taken"),
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -7,6 +7,8 @@
 //===----------------------------------------------------------------------===//
 
 #include "jobs/internal/pools.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
 #include "jobs/tests/entryfake.h"
 
 #include <gtest/gtest.h>
@@ -130,6 +132,38 @@
   EXPECT_EQ(Fake.Workers.Starts, Jobs.size());
 }
 
+// What an entry sent while the owner stood still must not start afterwards: its
+// caller may have come back and be served by another pool.
+TEST(PoolsTest, AnOwnerStartsNothingThatHasLainForLong) {
+  EntryFake Fake(1, 2);
+  Fake.settleByRack();
+  const Endpoint &Owner = Fake.Entries[0].At;
+  auto Send = [&](const std::string &Name, Duration Age) {
+    Json::Value Params(Json::objectValue);
+    Params["pool"] = "a/odd";
+    Job Wanted;
+    Wanted.Id = JobId(Name);
+    Wanted.Service = ServiceId("service");
+    Wanted.Spec.Transient = true;
+    Wanted.Spec.Steps.emplace_back();
+    Params["job"] = wire::write(Wanted);
+    Params["left_us"] = Json::Int64(Duration(1s).count());
+    Params["origin"] = "10.0.1.9:7000";
+    Params["incarnation"] = 7;
+    Params["echo_us"] =
+        Json::UInt64((Fake.Clock.now() - Age).time_since_epoch().count());
+    Fake.Net.Servers[Owner].at(wire::method::Run)(
+        Params, [](const Outcome<Json::Value> & /*Answer*/) {
+          // Only starts count here.
+        });
+    Fake.run(10ms);
+  };
+  Send("stale", OwnerSilence);
+  EXPECT_EQ(Fake.Workers.Starts, 0U);
+  Send("fresh", 10ms);
+  EXPECT_EQ(Fake.Workers.Starts, 1U);
+}
+
 // Others believe in a claim whose maker is gone and follow nobody.
 TEST(PoolViewTest, AnOwnerOutbidsAClaimWhoseMakerIsSilent) {
   Time Start{10s};
