Give up what waited while an entry stood still

Change: an entry that has not run for 500 ms answers what waits there as not run, and refuses what comes in the 50 ms after; a job looks for an owner for 1.1 s, not 1.3 s.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -20,8 +20,14 @@
 
 constexpr const char *Module = "jobs";
 /// How long a job may look for an owner: the time in which one is replaced.
-/// After it the caller is told to come back instead.
-constexpr Duration SearchTime = std::chrono::milliseconds(1300);
+/// After it the caller is told to come back instead. Below the 1.3 s after
+/// which a caller whose connection broke unnoticed comes back at another entry.
+constexpr Duration SearchTime = std::chrono::milliseconds(1100);
+/// Requests that come within this time after a pause may have waited in a
+/// socket meanwhile: a loop takes all that waits there in a few turns.
+constexpr Duration AfterPause = std::chrono::milliseconds(50);
+/// Without a tick for so long this process stands still, or just did.
+constexpr Duration UnnoticedPause = std::chrono::milliseconds(500);
 /// What the caller is told to wait then.
 constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
 /// A job that has not been sent keeps its pool for so long, the time in which
@@ -112,6 +118,10 @@
     refuse(Request, outcome(JobOutcome::NoQueue), Done);
     return Nothing;
   }
+  if (Spec.Transient && hasJustPaused()) {
+    refuse(Request, notTaken("this entry stood still"), Done);
+    return Nothing;
+  }
   if (!Spec.Transient || ControlSchedules_) {
     Control_.submit(Request, Spec, std::move(Done));
     return Nothing;
@@ -129,6 +139,17 @@
   return [this, What] { abandon(What); };
 }
 
+void EntryJobs::giveUpAfterPause(const AskPtr &What) {
+  finish(What, notTaken("this entry stood still"));
+}
+
+bool EntryJobs::hasJustPaused() const {
+  Time Now = Needs_.Clock.now();
+  // The tick may not have noticed the pause yet.
+  bool Unnoticed = TickedAt_ && Now - *TickedAt_ >= UnnoticedPause;
+  return Unnoticed || (PausedUntil_ && Now - *PausedUntil_ < AfterPause);
+}
+
 void EntryJobs::abandon(const AskPtr &What) {
   if (Asks_.erase(What) == 0)
     return;
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -81,6 +81,8 @@
   void answerPing(const Json::Value &Params, const Reply &Answer);
   void takePools(const Json::Value &From, const Endpoint &Speaker);
   void tellCandidates(const PoolMember &Of);
+  /// Gives up what waits here if this process has stood still.
+  void notePause(Time Now);
   void followOwners();
   /// Of an entry that owns several pools: lets go of one for an entry that owns
   /// none.
@@ -115,6 +117,10 @@
   void refuse(const JobRequest &Request, const JobAnswer &Answer,
               const Callback &Done) const;
   void logAnswer(const Ask &Of, const JobAnswer &Told) const;
+  void giveUpAfterPause(const AskPtr &What);
+  /// Whether a request may have waited in a socket while this process stood
+  /// still.
+  bool hasJustPaused() const;
   void abandon(const AskPtr &What);
   void park(const AskPtr &What);
   void redispatchParked();
@@ -145,6 +151,9 @@
 
   Pools Pools_;
   bool Stopping_ = false;
+  /// The last tick, and the end of the last pause that was noticed.
+  std::optional<Time> TickedAt_;
+  std::optional<Time> PausedUntil_;
   /// When this entry last let go of a pool for another entry.
   Time SharedAt_;
   std::set<Endpoint> PingsUnderWay_;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -18,6 +18,10 @@
 
 constexpr const char *Module = "jobs";
 constexpr Duration TickInterval = std::chrono::milliseconds(25);
+/// A process that has stood still for so long may hold requests whose callers
+/// have come back elsewhere, which they do after 1.3 s; by then they must have
+/// been started or given up. Busy processes are late by less.
+constexpr Duration LongPause = std::chrono::milliseconds(500);
 /// An entry gives pools to others this often at most: the time in which all
 /// have heard of the last change.
 constexpr Duration SharePause = std::chrono::seconds(1);
@@ -42,8 +46,25 @@
 
 } // namespace
 
+void EntryJobs::notePause(Time Now) {
+  Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration(0);
+  TickedAt_ = Now;
+  if (Gap < LongPause)
+    return;
+  PausedUntil_ = Now;
+  std::vector<AskPtr> Unsent;
+  for (const AskPtr &What : Asks_)
+    if (!What->SentTo)
+      Unsent.push_back(What);
+  logEvent(LogLevel::Warning, Module, "stood_still",
+           {{"pause_us", Gap.count()}, {"given_up", Unsent.size()}});
+  for (const AskPtr &What : Unsent)
+    giveUpAfterPause(What);
+}
+
 void EntryJobs::tick() {
   Time Now = Needs_.Clock.now();
+  notePause(Now);
   for (auto &[Name, In] : Pools_)
     if (!ControlSchedules_ && In->claimIfDue())
       tellCandidates(*In);
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -164,6 +164,22 @@
   EXPECT_EQ(Fake.Workers.Starts, 1U);
 }
 
+// A request that waited in a socket while its entry stood still: its caller may
+// be served elsewhere by now.
+TEST(PoolsTest, AnEntryThatStoodStillStartsNothingOld) {
+  EntryFake Fake(1, 2);
+  Fake.settleByRack();
+  Fake.Clock.advance(1s);
+  auto Old = Fake.submit(0, "old", 1);
+  ASSERT_TRUE(Old->Answer);
+  EXPECT_EQ(Old->Answer->Outcome, JobOutcome::NotTaken);
+  Fake.run(1s);
+  EXPECT_EQ(Fake.Workers.Starts, 0U);
+  auto New = Fake.submit(0, "new", 1);
+  Fake.run(1s);
+  EXPECT_TRUE(served(New));
+}
+
 // Others believe in a claim whose maker is gone and follow nobody.
 TEST(PoolViewTest, AnOwnerOutbidsAClaimWhoseMakerIsSilent) {
   Time Start{10s};
