--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -11,6 +11,11 @@
 
 namespace geraniumbay::jobs {
 
+/// A process that has stood still for so long may hold requests whose callers
+/// have come back elsewhere, which they do after 1.3 s; by then they must have
+/// been started or given up. Busy processes are late by less.
+constexpr Duration LongPause = std::chrono::milliseconds(500);
+
 struct EntryJobs::Ask {
   Job Wanted;
   Callback Done;
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -26,8 +26,6 @@
 /// Requests that come within this time after a pause may have waited in a
 /// socket meanwhile: a loop takes all that waits there in a few turns.
 constexpr Duration AfterPause = std::chrono::milliseconds(50);
-/// Without a tick for so long this process stands still, or just did.
-constexpr Duration UnnoticedPause = std::chrono::milliseconds(500);
 /// What the caller is told to wait then.
 constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
 /// A job that has not been sent keeps its pool for so long, the time in which
@@ -146,7 +144,7 @@
 bool EntryJobs::hasJustPaused() const {
   Time Now = Needs_.Clock.now();
   // The tick may not have noticed the pause yet.
-  bool Unnoticed = TickedAt_ && Now - *TickedAt_ >= UnnoticedPause;
+  bool Unnoticed = TickedAt_ && Now - *TickedAt_ >= LongPause;
   return Unnoticed || (PausedUntil_ && Now - *PausedUntil_ < AfterPause);
 }
 
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -18,10 +18,6 @@
 
 constexpr const char *Module = "jobs";
 constexpr Duration TickInterval = std::chrono::milliseconds(25);
-/// A process that has stood still for so long may hold requests whose callers
-/// have come back elsewhere, which they do after 1.3 s; by then they must have
-/// been started or given up. Busy processes are late by less.
-constexpr Duration LongPause = std::chrono::milliseconds(500);
 /// An entry gives pools to others this often at most: the time in which all
 /// have heard of the last change.
 constexpr Duration SharePause = std::chrono::seconds(1);
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -48,6 +48,11 @@
   return Busy - Clock_.now();
 }
 
+bool served(const std::shared_ptr<Submitted> &Job) {
+  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
+         Job->Answer->State == JobState::Completed;
+}
+
 void FakePeerNet::call(const Endpoint &From, const Endpoint &To,
                        const std::string &Method, const Json::Value &Params,
                        Duration Timeout, IRpcClient::Callback Done) {
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -82,6 +82,9 @@
   std::function<void()> Abandon;
 };
 
+/// The job was run and its caller told that it is completed.
+bool served(const std::shared_ptr<Submitted> &Job);
+
 /// Two data centres "a" and "b" with entries 10.0.1.x and 10.0.2.x and workers
 /// 10.1.1.x and 10.1.2.x, and one control VM 10.0.9.1.
 class EntryFake {
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -15,11 +15,6 @@
 
 using namespace std::chrono_literals;
 
-bool served(const std::shared_ptr<Submitted> &Job) {
-  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
-         Job->Answer->State == JobState::Completed;
-}
-
 TEST(EntryJobsTest, OneEntryOwnsThePoolAndAllServe) {
   EntryFake Fake(2, 3);
   Fake.settle();
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -15,11 +15,6 @@
 
 using namespace std::chrono_literals;
 
-bool served(const std::shared_ptr<Submitted> &Job) {
-  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
-         Job->Answer->State == JobState::Completed;
-}
-
 bool allServe(EntryFake &Fake) {
   std::vector<std::shared_ptr<Submitted>> Jobs;
   for (std::size_t I = 0; I < Fake.Entries.size(); ++I)
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -23,11 +23,6 @@
   return {"10.0.0." + std::to_string(Number), 7000};
 }
 
-bool served(const std::shared_ptr<Submitted> &Job) {
-  return Job->Answer && Job->Answer->Outcome == JobOutcome::Known &&
-         Job->Answer->State == JobState::Completed;
-}
-
 TEST(PoolsTest, AWorkerOfALargeDeploymentIsInThePoolOfItsRack) {
   WorkerInfo Info;
   Info.DataCentre = DataCentreId("north");
