Show two ways in which a majority counts on disks that hold nothing

Losses that follow each other as closely as the platform allows show two: - a planned replacement leaves four voters until the old one has been silent for 2 s; a disk that is lost right after the stop leaves two of four; - a follower that is killed between a write and its sync finds the entry in its folder and confirms it, though a loss of power may still take it.

ruled out: replacements without warning, lost disks, cuts, freezes, kills and losses of power of all VMs, also of four and of six control VMs.

--- a/src/control/tests/groupfake.cpp
+++ b/src/control/tests/groupfake.cpp
@@ -48,6 +48,15 @@
 
 void GroupFake::crash(std::size_t I) {
   Members[I]->Disk.crash(Rng_);
+  forget(I);
+}
+
+void GroupFake::kill(std::size_t I) {
+  Members[I]->Disk.endProcess();
+  forget(I);
+}
+
+void GroupFake::forget(std::size_t I) {
   Members[I]->Runner.reset();
   Members[I]->Held.clear();
   Members[I]->Frozen = false;
@@ -59,6 +68,14 @@
   Members[I]->Disk.wipe();
 }
 
+void GroupFake::stop(std::size_t I) {
+  if (!up(I))
+    return;
+  Members[I]->Runner->post(HandOver{});
+  run(std::chrono::milliseconds(100));
+  kill(I);
+}
+
 void GroupFake::thaw(std::size_t I) {
   Members[I]->Frozen = false;
   for (Message &What : std::exchange(Members[I]->Held, {}))
--- a/src/control/tests/groupfake.h
+++ b/src/control/tests/groupfake.h
@@ -34,8 +34,13 @@
 
   // Faults.
   void start(std::size_t I);
+  /// Loses power: what the disk had not synced may be gone.
   void crash(std::size_t I);
+  /// Ends the process; the disk keeps what was written, synced or not.
+  void kill(std::size_t I);
   void wipe(std::size_t I);
+  /// Ends the process as planned.
+  void stop(std::size_t I);
   void freeze(std::size_t I) { Members[I]->Frozen = true; }
   void thaw(std::size_t I);
   /// Cuts the member off from all others, or lets it talk again.
@@ -80,6 +85,7 @@
   std::string Wrong;
 
 private:
+  void forget(std::size_t I);
   bool isCut(const Message &What) const;
   std::size_t indexOf(const VmId &Vm) const;
   void onSend(const Message &What);
--- a/src/framework/storage/fakestorage.h
+++ b/src/framework/storage/fakestorage.h
@@ -41,6 +41,9 @@
   /// waits for completeSyncs().
   void setDurableAtOnce(bool AtOnce) { DurableAtOnce_ = AtOnce; }
 
+  /// Ends the process only: pending callbacks are lost, files stay as they are,
+  /// and what was not synced can still be lost by a later crash().
+  void endProcess() { Pending_.clear(); }
   /// Stops the machine: unsynced bytes and pending callbacks are lost.
   void crash();
   /// Like crash(), but each file keeps a random prefix of its unsynced bytes.
