--- a/src/framework/storage/filestorage.cpp
+++ b/src/framework/storage/filestorage.cpp
@@ -106,6 +106,9 @@
   std::unique_ptr<FileStorage> Storage(
       new FileStorage(std::move(Handle), std::move(Lock), std::move(Syncs)));
   BOOST_LEAF_CHECK(Storage->removeTemporaries());
+  // An earlier process may have been killed between a rename and its sync; the
+  // names that are found now must not go back after a loss of power.
+  BOOST_LEAF_CHECK(Storage->syncFolder());
   return Storage;
 }
 
