Show how many control VMs may still be lost, and what a replacement waits for

Logs told the voters after each change, but not which of them still answer, nor why a replacement did not come in; metrics told nothing, and the hypotheses (lost disk, replaced voters, damaged log) could not be told apart from outside.

change: reportGroup, a pure function over a member: voters, learners, those that do not answer, how many more may be lost, what the next change of members waits for. Five gauges and a line at each change, one a second at most.

--- a/src/control/controlsetup.cpp
+++ b/src/control/controlsetup.cpp
@@ -38,7 +38,8 @@
       Services.get<IClock>(framework_name::Clock),
       Services.get<ITimers>(framework_name::Timers),
       Services.get<IRpcServer>(framework_name::RpcServer),
-      Services.get<IRpcClient>(framework_name::RpcClient));
+      Services.get<IRpcClient>(framework_name::RpcClient),
+      Services.get<Metrics>(framework_name::Metrics));
   Services.add<ControlService>(service_name::ControlVm, Service);
   Services.add<IReplicatedLog>(service_name::ReplicatedLog, Service);
   return Service->start();
--- a/src/control/controlsetup.h
+++ b/src/control/controlsetup.h
@@ -1,7 +1,7 @@
 //===- controlsetup.h - Wiring of the control module ------------*- C++ -*-===//
 //
 // Builds the module's services and registers them by name. Needs "clock",
-// "timers" and "rpc_client"; on a control VM also "rpc_server" and
+// "timers" and "rpc_client"; on a control VM also "rpc_server", "metrics" and
 // "control_storage"; "config_storage" is used if it is there.
 //
 //===----------------------------------------------------------------------===//
--- a/src/control/internal/controlreports.cpp
+++ b/src/control/internal/controlreports.cpp
@@ -7,6 +7,7 @@
 
 #include "control/internal/controlservice.h"
 #include "control/internal/wire.h"
+#include "framework/log/log.h"
 
 #include <algorithm>
 
@@ -14,6 +15,10 @@
 
 namespace {
 
+constexpr const char *Module = "control";
+/// How often the state of the group is looked at for operators, which bounds
+/// its log to a line a second.
+constexpr Duration WatchInterval = std::chrono::seconds(1);
 constexpr Duration StatusTimeout = std::chrono::milliseconds(500);
 
 /// A request of control.watch.
@@ -38,15 +43,6 @@
   return Result;
 }
 
-/// Whether the member leads, or has heard a leader lately. A leader that hears
-/// no majority steps down, so either means that a majority is in touch.
-bool inTouch(const RaftState &Raft, Time Now) {
-  if (Raft.Current == Role::Leader)
-    return true;
-  return Raft.LeaderHeard &&
-         Now - *Raft.LeaderHeard < Raft.Settings.ElectionTimeout;
-}
-
 const char *roleName(Role Current) {
   switch (Current) {
   case Role::Joining:
@@ -84,6 +80,35 @@
 
 } // namespace
 
+void ControlService::watchGroup() {
+  GroupReport Now = reportGroup(Runner_->replica().Raft, Clock_.now());
+  auto Set = [this](const char *Name, const char *Help, auto Value) {
+    Measured_.set(Name, Help, {}, static_cast<double>(Value));
+  };
+  Set("geraniumbay_control_voters", "Voters of the control group", Now.Voters);
+  Set("geraniumbay_control_learners", "Members that do not vote yet",
+      Now.Learners);
+  Set("geraniumbay_control_voters_missing", "Voters that do not answer this VM",
+      Now.Missing.size());
+  Set("geraniumbay_control_voters_spare",
+      "Voters that may still be lost; below 0 there is no majority", Now.Spare);
+  Set("geraniumbay_control_in_touch", "Whether this VM leads or hears a leader",
+      Now.InTouch);
+  bool Changed = Now != LoggedGroup_;
+  LoggedGroup_ = Now;
+  if (Changed)
+    logEvent(Now.Spare < 0 ? LogLevel::Warning : LogLevel::Info, Module,
+             "group",
+             {{"voters", Now.Voters},
+              {"learners", Now.Learners},
+              {"missing", namesOf(Now.Missing)},
+              {"spare", Now.Spare},
+              {"in_touch", Now.InTouch},
+              {"waits_for", nameOf(Now.WaitsFor)},
+              {"term", Runner_->replica().Raft.Hard.Current}});
+  Timers_.after(WatchInterval, [this] { watchGroup(); });
+}
+
 void ControlService::watch(const Json::Value &Params, const Reply &Answer) {
   auto Request = attempt([&] { return readWatch(Params); });
   if (!Request)
@@ -94,7 +119,7 @@
   Json::Value Result(Json::objectValue);
   Result["version"] = Json::UInt64(Published_.Version.value());
   Result["revision"] = Json::UInt64(Published_.Seen.value());
-  Result["confirmed"] = inTouch(Runner_->replica().Raft, Clock_.now());
+  Result["confirmed"] = isInTouch(Runner_->replica().Raft, Clock_.now());
   if (Published_.Version > Request->InForce)
     Result["document"] = Published_.Document;
   if (Published_.Seen > Request->Seen)
--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -80,13 +80,6 @@
   return Json::Value(Json::objectValue);
 }
 
-std::string namesOf(const std::vector<MemberId> &Members) {
-  std::string Names;
-  for (const MemberId &Member : Members)
-    Names += (Names.empty() ? "" : ",") + Member.Vm.value();
-  return Names;
-}
-
 Error noLeader() {
   return {ErrorCode::Unavailable, "the control group has no leader now"};
 }
@@ -95,10 +88,12 @@
 
 ControlService::ControlService(ControlOptions Options, IStorage &Storage,
                                const IClock &Clock, ITimers &Timers,
-                               IRpcServer &Server, IRpcClient &Client)
+                               IRpcServer &Server, IRpcClient &Client,
+                               Metrics &Measured)
     : Options_(std::move(Options)), Clock_(Clock), Timers_(Timers),
-      Server_(Server), Client_(Client), Rng_(Options_.Seed),
-      Store_(Storage, freshGeneration(Rng_)), Started_(Clock.now()) {}
+      Server_(Server), Client_(Client), Measured_(Measured),
+      Rng_(Options_.Seed), Store_(Storage, freshGeneration(Rng_)),
+      Started_(Clock.now()) {}
 
 Ret ControlService::start() {
   BOOST_LEAF_AUTO(Found, Store_.recover());
@@ -125,6 +120,7 @@
   publish();
   offerMethods();
   tick();
+  watchGroup();
   return {};
 }
 
--- a/src/control/internal/controlservice.h
+++ b/src/control/internal/controlservice.h
@@ -21,10 +21,12 @@
 #define GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
 
 #include "control/controloptions.h"
+#include "control/internal/groupreport.h"
 #include "control/internal/memberrunner.h"
 #include "control/internal/watchtable.h"
 #include "control/ireplicatedlog.h"
 #include "framework/clock/itimers.h"
+#include "framework/metrics/metrics.h"
 #include "framework/rpc/irpcclient.h"
 #include "framework/rpc/irpcserver.h"
 
@@ -34,7 +36,8 @@
 class ControlService : public IReplicatedLog {
 public:
   ControlService(ControlOptions Options, IStorage &Storage, const IClock &Clock,
-                 ITimers &Timers, IRpcServer &Server, IRpcClient &Client);
+                 ITimers &Timers, IRpcServer &Server, IRpcClient &Client,
+                 Metrics &Measured);
 
   /// Recovers the member from its disk, offers the methods and starts to tick.
   /// Fails with Io if the disk cannot be used.
@@ -73,6 +76,8 @@
   void handled(const ReplicaEvent &What);
   /// Logs a change of the members or the leader.
   void logChanges();
+  /// Keeps the gauges of the group, and logs what has changed.
+  void watchGroup();
   void failed(const Error &Why);
 
   // Proposals.
@@ -106,6 +111,7 @@
   ITimers &Timers_;
   IRpcServer &Server_;
   IRpcClient &Client_;
+  Metrics &Measured_;
   Random Rng_;
   MemberStore Store_;
   /// Null until start().
@@ -115,6 +121,7 @@
   /// What was logged last.
   Membership LoggedMembers_;
   std::optional<MemberId> LoggedLeader_;
+  GroupReport LoggedGroup_;
 
   std::uint64_t LastCall_ = 0;
   /// Consensus messages received and not yet answered, by Message::Call.
--- a/src/control/internal/group.cpp
+++ b/src/control/internal/group.cpp
@@ -70,16 +70,6 @@
   appendAsLeader(State, Out, std::move(Members), Now);
 }
 
-bool hasCaughtUp(const RaftState &State, const Progress &Peer, Time Now) {
-  return Peer.Answered && Peer.Match >= State.Commit &&
-         Now - Peer.LastHeard < State.Settings.ElectionTimeout;
-}
-
-Duration silenceOf(const RaftState &State, const MemberId &Voter, Time Now) {
-  return Voter == State.Self ? Duration(0)
-                             : Now - State.Peers.at(Voter).LastHeard;
-}
-
 /// The voter that has been silent longest; null if there are none.
 const MemberId *mostSilent(const RaftState &State, Time Now) {
   const std::vector<MemberId> &Voters = State.Group.Members.Voters;
@@ -97,9 +87,7 @@
   if (!State.Settings.AdmitsUnlisted)
     return nullptr;
   const MemberId *Silent = mostSilent(State, Now);
-  bool Missed = Silent && silenceOf(State, *Silent, Now) >=
-                              State.Settings.Heartbeat * MissedHeartbeats;
-  return Missed ? Silent : nullptr;
+  return Silent && missesHeartbeats(State, *Silent, Now) ? Silent : nullptr;
 }
 
 /// Takes the next step from \p Learner to a voter in its VM's place, or in that
@@ -192,6 +180,21 @@
 
 } // namespace
 
+bool hasCaughtUp(const RaftState &State, const Progress &Peer, Time Now) {
+  return Peer.Answered && Peer.Match >= State.Commit &&
+         Now - Peer.LastHeard < State.Settings.ElectionTimeout;
+}
+
+Duration silenceOf(const RaftState &State, const MemberId &Voter, Time Now) {
+  return Voter == State.Self ? Duration(0)
+                             : Now - State.Peers.at(Voter).LastHeard;
+}
+
+bool missesHeartbeats(const RaftState &State, const MemberId &Voter, Time Now) {
+  return silenceOf(State, Voter, Now) >=
+         State.Settings.Heartbeat * MissedHeartbeats;
+}
+
 void tickJoining(RaftState &State, Actions &Out, Time Now) {
   if (Now < State.FindDue)
     return;
--- a/src/control/internal/raftparts.h
+++ b/src/control/internal/raftparts.h
@@ -55,6 +55,12 @@
 /// Of a member that hears no leader: asks for the group, which may have
 /// replaced it.
 void findGroupAgain(RaftState &State, Actions &Out, Time Now);
+/// Whether a member has answered lately and has all that is committed.
+bool hasCaughtUp(const RaftState &State, const Progress &Peer, Time Now);
+/// Of a leader: for how long it has not heard \p Voter.
+Duration silenceOf(const RaftState &State, const MemberId &Voter, Time Now);
+/// Of a leader: whether \p Voter is about to be silent.
+bool missesHeartbeats(const RaftState &State, const MemberId &Voter, Time Now);
 void tickMembership(RaftState &State, Actions &Out, Time Now);
 void onFindGroup(RaftState &State, Actions &Out, const Message &From, Time Now);
 void onFindGroupAnswer(RaftState &State, Actions &Out, const Message &From,
--- a/src/control/tests/replacementtest.cpp
+++ b/src/control/tests/replacementtest.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "control/internal/groupreport.h"
 #include "control/internal/raftparts.h"
 #include "control/tests/groupfake.h"
 
@@ -164,6 +165,49 @@
   EXPECT_EQ(Fake.Group.Wrong, "");
 }
 
+// What an operator must see before the group loses its last confirmed change.
+TEST(ReplacementTest, TheReportTellsWhatTheGroupWaitsFor) {
+  Replacement Fake;
+  GroupFake &Group = Fake.Group;
+  auto Report = [&] {
+    auto At = static_cast<std::size_t>(Group.runToLeader());
+    return reportGroup(Group.at(At).Raft, Group.Clock.now());
+  };
+  EXPECT_EQ(Report().Spare, 1);
+  EXPECT_EQ(Report().WaitsFor, MembershipWait::Nothing);
+
+  Group.crash(0);
+  Group.run(2s);
+  EXPECT_EQ(Report().Spare, 0);
+  EXPECT_EQ(namesOf(Report().Missing), Group.Members[0]->Vm.value());
+  EXPECT_EQ(Report().WaitsFor, MembershipWait::NoReplacement);
+
+  Group.start(3);
+  Group.run(200ms);
+  EXPECT_EQ(Report().Learners, 1U);
+  EXPECT_EQ(Report().WaitsFor, MembershipWait::VoterSilence);
+
+  Group.run(4s);
+  EXPECT_EQ(Report().Spare, 1);
+  EXPECT_EQ(namesOf(Report().Missing), "");
+  EXPECT_EQ(Report().WaitsFor, MembershipWait::Nothing);
+}
+
+TEST(ReplacementTest, TheReportTellsThatThereIsNoMajority) {
+  Replacement Fake;
+  GroupFake &Group = Fake.Group;
+  Group.crash(0);
+  Group.crash(1);
+  // A candidate learns anew with each election who answers.
+  bool Seen = false;
+  for (int N = 0; N < 100 && !Seen; ++N) {
+    Group.run(50ms);
+    GroupReport Now = reportGroup(Group.at(2).Raft, Group.Clock.now());
+    Seen = Now.Spare == -1 && Now.Missing.size() == 2 && !Now.InTouch;
+  }
+  EXPECT_TRUE(Seen);
+}
+
 /// One VM after the other is replaced, with a fault of another kind at each
 /// step; what was accepted is never lost and a leader always comes.
 void replaceOneAfterTheOther() {
--- a/src/control/tests/servicefake.cpp
+++ b/src/control/tests/servicefake.cpp
@@ -54,8 +54,9 @@
       Change(Options);
     auto Vm = std::make_unique<FakeControlVm>();
     Vm->Rpc = std::make_unique<FakeRpc>(Net, Peers[I].At);
-    Vm->Service = std::make_unique<ControlService>(
-        std::move(Options), Vm->Disk, Clock, Timers, *Vm->Rpc, *Vm->Rpc);
+    Vm->Service = std::make_unique<ControlService>(std::move(Options), Vm->Disk,
+                                                   Clock, Timers, *Vm->Rpc,
+                                                   *Vm->Rpc, Vm->Measured);
     (void)attempt([&] { return Vm->Service->start(); });
     Vms.push_back(std::move(Vm));
   }
--- a/src/control/tests/servicefake.h
+++ b/src/control/tests/servicefake.h
@@ -56,6 +56,7 @@
 struct FakeControlVm {
   FakeStorage Disk;
   std::unique_ptr<FakeRpc> Rpc;
+  Metrics Measured;
   std::unique_ptr<ControlService> Service;
 };
 
--- a/src/control/tests/servicetest.cpp
+++ b/src/control/tests/servicetest.cpp
@@ -57,6 +57,21 @@
   EXPECT_EQ(Net.Vms[0]->Service->published().Document, "first document");
 }
 
+TEST(ServiceTest, TheMetricsShowThatAVoterIsMissing) {
+  ServiceFake Net;
+  std::size_t Leader = leaderOf(Net.status());
+  auto Shows = [&](const std::string &Line) {
+    return Net.Vms[Leader]->Measured.text().find(Line) != std::string::npos;
+  };
+  EXPECT_TRUE(Shows("geraniumbay_control_voters 3"));
+  EXPECT_TRUE(Shows("geraniumbay_control_voters_spare 1"));
+  Net.Net.Cut.insert(Net.controlAt((Leader + 1) % 3));
+  Net.run(5s);
+  EXPECT_TRUE(Shows("geraniumbay_control_voters_missing 1"));
+  EXPECT_TRUE(Shows("geraniumbay_control_voters_spare 0"));
+  EXPECT_TRUE(Shows("geraniumbay_control_in_touch 1"));
+}
+
 std::size_t votersOf(const ServiceFake &Net, std::size_t Vm) {
   return Net.Vms[Vm]->Service->memberAddresses().size();
 }
