Show that a job which is sent twice at once runs at two pools

cause: a caller whose connection is reset sends its job again at once, while the first sending still arrives. Two entries choose a pool each, by loads that they heard of at different times, and neither can know of the other. Seen in the logs of repeated resets on Reclamos grown: entries of one data centre 2 and 14 ms apart, each owner with maybe_taken=false, the first caller's leave told 100 ms after the second start.

ruled out: a second sending by one entry (each had one attempt at its pool); an owner that lets go (no change of owners near).

--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -298,6 +298,40 @@
   EXPECT_TRUE(served(After));
 }
 
+// What was seen: a job ran twice, at two pools at the same time. When
+// connections of callers are reset, a request that was on its way arrives, and
+// the caller, which cannot know, sends it again at once: two entries of one
+// data centre got the same job 2 to 14 ms apart, and each chose a pool by the
+// load that it had heard of. The logs of both entries and of both owners showed
+// it, each owner with `maybe_taken=false`. No wait can prevent that, since
+// neither entry knows of the other.
+void sendTwiceAtOnce(std::uint64_t Seed) {
+  EntryFake Fake(4, 8, Seed);
+  Fake.Workers.TaskTime = 150ms;
+  Fake.settleByRack();
+  Random Rng(Seed);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (int I = 0; I < 40; ++I) {
+    std::string Job = "job" + std::to_string(I);
+    std::size_t First = Rng.below(4);
+    std::size_t Second = (First + 1 + Rng.below(3)) % 4;
+    auto Tasks = static_cast<std::uint32_t>(1 + Rng.below(3));
+    Jobs.push_back(Fake.submit(First, Job, Tasks));
+    Fake.run(Duration(Rng.below(15'000)));
+    Jobs.push_back(Fake.submit(Second, Job, Tasks));
+    Fake.run(Duration(Rng.below(60'000)));
+  }
+  Fake.run(3s);
+  EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
+  auto Answered = std::count_if(Jobs.begin(), Jobs.end(), served);
+  EXPECT_GE(Answered, 70) << "seed " << Seed;
+}
+
+TEST(PoolsTest, AJobThatComesToTwoEntriesAtOnceRunsAtOnePool) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed)
+    sendTwiceAtOnce(Seed);
+}
+
 /// Half a minute of jobs, cuts, crashes, late orders and failing tasks. Callers
 /// of an entry that has died come back at another one.
 class RandomPlay {
