Agree on a job's pool before it is handed in

cause: two entries that get the same job at once choose a pool each.

change: the job's registrar, by rendezvous hashing over the entries of the data centre, is asked before a job is handed in. Asked twice, then the next entry. Only where the workers are divided into pools.

--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -30,6 +30,10 @@
   /// the pool's next owner finds what of it runs.
   PoolName Pool;
   Time PoolChosen;
+  /// The job's registrar is asked for its pool, and has agreed to the one
+  /// above.
+  bool Registering = false;
+  bool Registered = false;
   /// Pools whose owners have refused it.
   std::set<PoolName> RefusedBy;
   /// The last refusal; it stands where no other pool is known.
@@ -44,6 +48,9 @@
   Endpoint TakenBy;
 };
 
+/// Reads who waits for a job at the entry \p Origin.
+WaiterId waiterOf(const Json::Value &From, const Endpoint &Origin);
+
 } // namespace geraniumbay::jobs
 
 #endif // GERANIUMBAY_JOBS_INTERNAL_ENTRYASK_H
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -87,6 +87,10 @@
                        [this](const Json::Value &Params, const Reply &Answer) {
                          answerDrop(Params, Answer);
                        });
+  Needs_.Server.method(wire::method::Register,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         answerRegister(Params, Answer);
+                       });
   Control_.start();
   tick();
   pingAll();
@@ -221,8 +225,10 @@
     Chosen->distrustLoad();
   Chosen = choosePool(What->Wanted, What->RefusedBy);
   What->PoolChosen = Now;
-  if (Chosen)
+  if (Chosen && Chosen->name() != What->Pool) {
     What->Pool = Chosen->name();
+    What->Registered = false;
+  }
   return Chosen;
 }
 
@@ -242,6 +248,8 @@
   }
   if (!In->isOwned() || (Owner == Self_ && !In->scheduler()))
     return park(What);
+  if (Plan_ != PoolPlan::One && !What->MaybeTaken && !What->Registered)
+    return registerJob(What);
   What->SentTo = In->view().Owner;
   What->TakenBy = Owner;
   In->noteSent(What->Wanted);
@@ -354,6 +362,8 @@
     return finish(What, What->MaybeTaken
                             ? outcome(JobOutcome::Unknown, "the owner was lost")
                             : notTaken("no owner of the workers was found"));
+  if (What->Registering)
+    return;
   bool Elsewhere = What->MaybeTaken && What->TakenBy != In->view().Owner.At;
   if (!Elsewhere || Now >= givenUpBy(In->view(), What->TakenBy))
     dispatch(What);
@@ -370,6 +380,8 @@
   bool Doubtful = Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken;
   JobAnswer Told =
       Doubtful ? outcome(JobOutcome::Unknown, Answer.Reason) : Answer;
+  if (Told.Outcome == JobOutcome::NotTaken && What->Registered)
+    releaseJob(*What);
   logAnswer(*What, Told);
   What->Done(Told);
 }
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -15,6 +15,7 @@
 
 #include "framework/rpc/irpcserver.h"
 #include "jobs/internal/jobgateway.h"
+#include "jobs/internal/jobregister.h"
 #include "jobs/internal/poolmember.h"
 #include "jobs/routing.h"
 
@@ -113,6 +114,20 @@
   /// whether there is one.
   bool tryElsewhere(const AskPtr &What, const JobAnswer &Refusal);
 
+  // Agreeing on a job's pool with other entries (registration.cpp).
+  /// Whom to ask, the first choice first.
+  std::vector<Endpoint> registrarsFor(const JobId &Id) const;
+  /// Asks for the job's pool, and goes on with dispatch().
+  void registerJob(const AskPtr &What);
+  void askRegistrar(const AskPtr &What, std::uint64_t Attempt,
+                    const Endpoint &Registrar, int Tries);
+  void registered(const AskPtr &What, std::uint64_t Attempt,
+                  const PoolName &Pool, const Endpoint &Registrar);
+  /// The caller is told to come back: the job may go to any pool then.
+  void releaseJob(const Ask &What);
+  Json::Value writeClaimOf(const Ask &What) const;
+  void answerRegister(const Json::Value &Params, const Reply &Answer);
+
   // Transient jobs of this entry's callers (entryjobs.cpp).
   void dispatch(const AskPtr &What);
   PoolMember *poolFor(const AskPtr &What);
@@ -184,6 +199,10 @@
   /// When that process sent the latest of its pings that has come, by its
   /// clock.
   std::map<Endpoint, std::uint64_t> LatestPings_;
+  /// Of jobs whose registrar is this entry.
+  JobRegister Register_;
+  /// When a registrar last failed to answer.
+  std::map<Endpoint, Time> RegistrarsLost_;
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
   std::uint64_t LastSerial_ = 0;
--- a/src/jobs/internal/intake.cpp
+++ b/src/jobs/internal/intake.cpp
@@ -235,9 +235,12 @@
   scheduling::Admission Decided =
       scheduling::admit(Job.Useful, Job.Chain, Forecast, hashOf(Id), Now);
   if (Decided.What == scheduling::Verdict::Refused || Job.Late ||
-      isStale(Job, Now))
-    return cancelTransient(Id, "no worker was free in time",
-                           Decided.RetryAfter);
+      isStale(Job, Now)) {
+    constexpr const char *Reason = "no worker was free in time";
+    Refused_[Id] = {
+        Now, TransientEnd{JobState::Cancelled, Reason, Decided.RetryAfter}};
+    return cancelTransient(Id, Reason, Decided.RetryAfter);
+  }
   Job.Late = true;
   forgetWaiting(Id);
   enqueueReady(*Of);
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -25,6 +25,8 @@
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
 //                 echo_us, maybe_taken?} -> answer, or CLAIM with not_owner
 //   pool.drop    {pool, job, origin, incarnation, serial} -> {}
+//   pool.register {job, pool, origin, incarnation, serial, refused_by?}
+//     -> {pool}: the pool that the job goes to; with release: -> {}
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
@@ -57,6 +59,7 @@
 constexpr const char *Ping = "pool.ping";
 constexpr const char *Run = "pool.run";
 constexpr const char *Drop = "pool.drop";
+constexpr const char *Register = "pool.register";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
 constexpr const char *Share = "workers.share";
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -113,6 +113,7 @@
             {"age_us", (Needs_.Clock.now() - What->Since).count()}});
   What->Pool = Next->name();
   What->PoolChosen = Needs_.Clock.now();
+  What->Registered = false;
   dispatch(What);
   return true;
 }
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -28,13 +28,13 @@
   return static_cast<std::uint64_t>(At.time_since_epoch().count());
 }
 
+} // namespace
+
 WaiterId waiterOf(const Json::Value &From, const Endpoint &Origin) {
   return {Origin, wire::numberOf(From, "incarnation"),
           wire::numberOf(From, "serial")};
 }
 
-} // namespace
-
 void EntryJobs::notePause(Time Now) {
   Duration Gap = TickedAt_ ? Now - *TickedAt_ : Duration(0);
   TickedAt_ = Now;
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -273,6 +273,8 @@
   std::unordered_map<TaskId, WorkerId> FailedAt_;
   std::unordered_map<TaskId, RunNumber> LastRuns_;
   std::unordered_set<JobId> Begun_;
+  /// Transient jobs that were refused or given up before they began, and when.
+  std::map<JobId, std::pair<Time, TransientEnd>> Refused_;
   /// Jobs that have ended, oldest first, with the time.
   std::deque<std::pair<Time, JobId>> Settled_;
   bool ScheduleDue_ = false;
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -19,6 +19,10 @@
 /// How long the end of a job is remembered for callers that send it again
 /// because its answer was lost; they do so within seconds.
 constexpr Duration KeepAnswered = std::chrono::seconds(10);
+/// A refusal stands for so long: the entry that heard it takes the job to
+/// another pool, while a second sending of the same job may still be on its way
+/// here. Callers come back after a second at the earliest.
+constexpr Duration RefusalStands = std::chrono::milliseconds(500);
 /// How often all workers are looked at while jobs wait for that.
 constexpr Duration LookInterval = std::chrono::milliseconds(20);
 
@@ -26,6 +30,8 @@
 
 void Scheduler::run(Job New, const Arrival &How, EndCallback Ended) {
   JobId Id = New.Id;
+  if (auto Found = Refused_.find(Id); Found != Refused_.end())
+    return Ended(Found->second.second);
   if (const Job *Known = findJob(Transient_, Id)) {
     if (Known->State == JobState::Active) {
       Waiters_[Id].Waiting.push_back({How.From, std::move(Ended)});
@@ -48,10 +54,13 @@
   if (!How.MaybeTaken && !hasOrphans(Id) && knowsWorkersOf(New.Service)) {
     scheduling::Waits Known = forecastFor(New, Now);
     scheduling::Admission Decided = admissionOf(New, Coming, Known);
-    if (Decided.What == scheduling::Verdict::Refused)
-      return Ended(TransientEnd{JobState::Cancelled,
-                                "the backlog is too long to end in time",
-                                Decided.RetryAfter});
+    if (Decided.What == scheduling::Verdict::Refused) {
+      TransientEnd Refusal{JobState::Cancelled,
+                           "the backlog is too long to end in time",
+                           Decided.RetryAfter};
+      Refused_[Id] = {Now, Refusal};
+      return Ended(Refusal);
+    }
     Coming.Late = Decided.What == scheduling::Verdict::Late;
     if (!Coming.Late)
       Coming.Forecast = Known.InTurn;
@@ -225,6 +234,9 @@
 }
 
 void Scheduler::forgetTransient(Time Now) {
+  std::erase_if(Refused_, [&](const auto &Entry) {
+    return Now - Entry.second.first >= RefusalStands;
+  });
   while (!Answered_.empty() && Now - Answered_.front().first >= KeepAnswered) {
     const Job *Of = findJob(Transient_, Answered_.front().second);
     if (Of && Of->State != JobState::Active)
