Call a refusal in doubt where a leader before may have started the job

change: an entry that gets a refusal after it lost another leader over the same job tells its caller that the outcome is unknown.

--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -145,6 +145,9 @@
   auto Answer = attempt([&] { return wire::readAnswer(*Result); });
   if (Answer) {
     Leader_ = From;
+    // The leader speaks for itself; one before it may have started tasks.
+    if (Answer->Outcome == JobOutcome::NotTaken && What->MaybeTaken)
+      Answer->Outcome = JobOutcome::Unknown;
     return What->Done(*Answer);
   }
   JobAnswer Unreadable;
