Find a job's home once a choice, and write who asks in one place

cause: choosing a pool hashed the job against all pools of the data centre twice, and the word that a caller has gone wrote the fields that a claim writes.

change: the home is handed to poolsToWeigh(); writeAsker() serves both messages. Behaviour as before.

conclusion: one hash a pool less for each job that is handed in.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -171,11 +171,8 @@
     return;
   }
   Json::Value Params(Json::objectValue);
-  Params["pool"] = What->Pool.value();
   Params["job"] = What->Wanted.Id.value();
-  Params["origin"] = Self_.text();
-  Params["incarnation"] = Json::UInt64(Incarnation_);
-  Params["serial"] = Json::UInt64(What->Own.Serial);
+  writeAsker(*What, Params);
   tellDropped(What->SentTo->At, Params, MostDrops);
 }
 
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -108,8 +108,9 @@
   // Which pool a job goes to (poolchoice.cpp).
   PoolMember *choosePool(const Job &Wanted,
                          const std::set<PoolName> &Without) const;
-  std::vector<PoolMember *>
-  poolsToWeigh(const Job &Wanted, const std::set<PoolName> &Without) const;
+  std::vector<PoolMember *> poolsToWeigh(const Job &Wanted,
+                                         const std::set<PoolName> &Without,
+                                         PoolMember *Home) const;
   /// Takes a job that a pool's owner has refused to another pool; returns
   /// whether there is one.
   bool tryElsewhere(const AskPtr &What, const JobAnswer &Refusal);
@@ -127,6 +128,8 @@
   PoolName claimHere(const Ask &What);
   /// The caller is told to come back: the job may go to any pool then.
   void releaseJob(const Ask &What);
+  /// Writes whose job it is and which pool it is meant for.
+  void writeAsker(const Ask &What, Json::Value &Params) const;
   void writeClaim(const Ask &What, Json::Value &Params) const;
   /// Takes the claim that a message of another entry carries.
   PoolName takeClaim(const JobId &Id, const WaiterId &By,
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -54,8 +54,8 @@
 } // namespace
 
 std::vector<PoolMember *>
-EntryJobs::poolsToWeigh(const Job &Wanted,
-                        const std::set<PoolName> &Without) const {
+EntryJobs::poolsToWeigh(const Job &Wanted, const std::set<PoolName> &Without,
+                        PoolMember *Home) const {
   std::vector<PoolMember *> Near;
   std::vector<PoolMember *> Far;
   std::vector<PoolMember *> Result;
@@ -71,8 +71,7 @@
       Near.push_back(In.get());
   }
   std::size_t Mix = mixOf(Wanted.Id);
-  if (PoolMember *Home = homePool(Wanted.Id);
-      Home && Home->expectedWait(Wanted) && Without.count(Home->name()) == 0)
+  if (Home && Home->expectedWait(Wanted) && Without.count(Home->name()) == 0)
     Result.push_back(Home);
   for (const auto *Group : {&Near, &Far})
     for (std::size_t I = 0; I < std::min(Weighed, Group->size()); ++I) {
@@ -88,8 +87,8 @@
     return findPool(poolOfAll());
   PoolMember *Best = nullptr;
   Duration Least{0};
-  const PoolMember *Home = homePool(Wanted.Id);
-  for (PoolMember *In : poolsToWeigh(Wanted, Without)) {
+  PoolMember *Home = homePool(Wanted.Id);
+  for (PoolMember *In : poolsToWeigh(Wanted, Without, Home)) {
     Duration Cost =
         *In->expectedWait(Wanted) + lossAwayFromData(Wanted, *In) +
         Duration(static_cast<Duration::rep>(FullUseMicros * In->use()));
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -97,11 +97,15 @@
   dispatch(What);
 }
 
-void EntryJobs::writeClaim(const Ask &What, Json::Value &Params) const {
+void EntryJobs::writeAsker(const Ask &What, Json::Value &Params) const {
   Params["pool"] = What.Pool.value();
   Params["origin"] = Self_.text();
   Params["incarnation"] = Json::UInt64(Incarnation_);
   Params["serial"] = Json::UInt64(What.Own.Serial);
+}
+
+void EntryJobs::writeClaim(const Ask &What, Json::Value &Params) const {
+  writeAsker(What, Params);
   for (const PoolName &Each : What.RefusedBy)
     Params["refused_by"].append(Each.value());
 }
