Say which process a test could not reach, and which the soak found ended

Cause: Process.FaultyWorkersTest.test_crossed_answers_are_not_believed failed once on the check of the last submission: a worker answered nothing when it was asked for its starts, 6 s after the test's begin, and the test said only that it could not read JSON. Which worker, and whether it ran, was lost. Ruled out: a job that waited for a worker (the job had its answer); other tests at the same moment (process tests run alone); a start 0.4 s late (the test passes). Change: the test waits until every worker that it starts anew takes requests, before the job; a worker that does not is named with its exit code and log. The soak reports processes that end unasked, and what the kernel says of each process when something broke. Not shown: why the worker was not there on that machine.

--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -279,6 +279,26 @@
         for name, (_, address) in self.workers.items():
             if name not in self.processes:
                 continue
-            for task, count in call(address, "GET", "/starts").body.items():
+            answer = call(address, "GET", "/starts")
+            if answer.status != 200:
+                raise AssertionError(self._why_silent(name))
+            for task, count in answer.body.items():
                 total[task] = total.get(task, 0) + count
         return total
+
+    def wait_workers(self):
+        """Waits until every worker that was started takes requests."""
+        for name, (_, address) in self.workers.items():
+            if name not in self.processes:
+                continue
+            deadline = time.monotonic() + READY_SECONDS
+            while call(address, "GET", "/starts").status != 200:
+                ended = self.processes[name].poll() is not None
+                if ended or time.monotonic() > deadline:
+                    raise AssertionError(self._why_silent(name))
+                time.sleep(0.02)
+
+    def _why_silent(self, name):
+        code = self.processes[name].poll()
+        state = "runs" if code is None else "ended with %d" % code
+        return "%s answers nothing, %s:\n%s" % (name, state, self.log(name)[-2000:])
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -175,6 +175,7 @@
         for name in list(cluster.workers):
             cluster.stop(name)
             cluster.start_worker(name, *faults)
+        cluster.wait_workers()
         vm = cluster.entries()[0]
         wait_until(lambda: cluster.slots("barracas") == 8, SETTLE_SECONDS, "workers are back")
         answer = cluster.job(vm, "faulty", ["a"], deadline_ms=4000)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -249,10 +249,21 @@
         self.ends = []
         self.core_until = 0.0
         self.busy = set()
+        self.ended = set()
 
     def note(self, what):
         self.story.append(f"{time.monotonic():.3f} {what}")
 
+    def check_alive(self, ledger):
+        """No process ends that nothing has stopped."""
+        for machine in self.fleet.core + self.fleet.entries:
+            code = machine.process.poll()
+            if code in (None, -signal.SIGKILL, 0) or machine.name in self.ended:
+                continue
+            self.ended.add(machine.name)
+            self.note(f"{machine.name} has ended with {code}")
+            ledger.breaks("ended", f"{machine.name}: exit code {code}")
+
     def later(self, seconds, act):
         self.ends.append((time.monotonic() + seconds, act))
 
@@ -441,10 +452,12 @@
             while time.monotonic() < end:
                 faults.tick()
                 time.sleep(0.02)
+            faults.check_alive(ledger)
         faults.tick(everything=True)
         for thread in threads:
             thread.join(timeout=30)
         check_end(fleet, ledger)
+        faults.check_alive(ledger)
         if ledger.broken:
             keep(seed, fleet, faults, ledger)
     finally:
@@ -462,11 +475,27 @@
     return ledger.broken
 
 
+def state_of(machine):
+    """What the kernel says of a process: running, stopped or waiting, where."""
+    if machine.process.poll() is not None:
+        return f"{machine.name} ended: {machine.process.returncode}"
+    threads = []
+    root = f"/proc/{machine.process.pid}/task"
+    for thread in os.listdir(root):
+        with open(f"{root}/{thread}/stat") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        state, ticks = fields[0], int(fields[11]) + int(fields[12])
+        threads.append(f"{state}/{ticks}")
+    return f"{machine.name} threads (state/ticks): {' '.join(threads)}"
+
+
 def keep(seed, fleet, faults, ledger):
     folder = os.environ.get("SOAK_LOGS", "/tmp/soak-logs")
     os.makedirs(folder, exist_ok=True)
     with open(os.path.join(folder, f"seed-{seed}.log"), "w") as file:
         file.write("\n".join(ledger.broken + faults.story) + "\n")
+        for machine in fleet.core + fleet.entries:
+            file.write(state_of(machine) + "\n")
         file.write(fleet.logs())
 
 
