Status names the voters that are silent, and how many more may be lost

Cause: only metrics and the log told it; an operator's status command showed voters but not which of them answer. Change: control VMs report which voters do not answer them; the merged report takes the leader's word, or without one that of the VM that asks for votes. Shown: ServiceTest.StatusNamesTheVotersThatAreSilent and ServiceTest.StatusWithoutAMajorityNamesWhoIsMissing; control_tests' ServiceTest 20 of 20.

--- a/src/cli/internal/methods.h
+++ b/src/cli/internal/methods.h
@@ -18,7 +18,8 @@
 /// {vm, process, incarnation, in_force, revision} -> {version, document,
 /// ledgers}
 constexpr const char *Watch = "control.watch";
-/// {} -> {version, control_vms, voters, watchers, history}
+/// {} -> {version, control_vms, voters, silent_voters, spare_voters, watchers,
+/// history}
 constexpr const char *ControlStatus = "control.status";
 /// {} -> fields for people; running: requests in flight
 constexpr const char *AdminStatus = "admin.status";
--- a/src/control/configtypes.h
+++ b/src/control/configtypes.h
@@ -27,6 +27,8 @@
 using DiskId = StrongId<struct ControlDiskTag, std::uint64_t>;
 /// Counts the changes that watchers can see (configuration or ledger views).
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
+/// A term of leadership of the control group; a later one has a higher number.
+using Term = StrongId<struct TermTag, std::uint64_t>;
 
 /// A ledger process together with the disk that holds its records.
 struct LedgerMember {
--- a/src/control/controlstatus.h
+++ b/src/control/controlstatus.h
@@ -10,6 +10,8 @@
 
 #include "control/configtypes.h"
 
+#include <cstddef>
+
 namespace geraniumbay::control {
 
 /// A process that asks for the configuration.
@@ -51,6 +53,16 @@
   bool operator==(const ControlVmStatus &) const = default;
 };
 
+/// Which voters one control VM can reach.
+struct VoterContact {
+  /// It leads; then its word goes before that of others.
+  bool Leads = false;
+  Term SeenTerm;
+  /// The voters that do not answer: of a leader, its heartbeats; of a VM that
+  /// hears no leader, its question for votes. Others cannot tell.
+  std::vector<VmId> Silent;
+};
+
 /// The report of one control VM; `status` merges those it can reach.
 struct ControlStatus {
   /// The newest version that any reachable control VM has.
@@ -58,10 +70,18 @@
   std::vector<ControlVmStatus> ControlVms;
   /// The voters of the group, as the VM that answers knows them.
   std::vector<VmId> Voters;
+  VoterContact Contact;
   std::vector<WatcherStatus> Watchers;
   std::vector<ChangeRecord> History;
 };
 
+/// How many more voters may be lost; below 0 there is no majority.
+inline std::ptrdiff_t spareVoters(const ControlStatus &Status) {
+  auto Voters = static_cast<std::ptrdiff_t>(Status.Voters.size());
+  auto Silent = static_cast<std::ptrdiff_t>(Status.Contact.Silent.size());
+  return Voters - Silent - (Voters / 2 + 1);
+}
+
 /// A process that was not heard for longer is reported as cut off.
 constexpr Duration CutOffAfter = std::chrono::seconds(10);
 
--- a/src/control/internal/controlreports.cpp
+++ b/src/control/internal/controlreports.cpp
@@ -10,6 +10,7 @@
 #include "framework/log/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace geraniumbay::control {
 
@@ -65,6 +66,14 @@
     for (ControlVmStatus &Known : Into.ControlVms)
       if (Known.Vm == Vm.Vm)
         Known = Vm;
+  // Without a leader the VM that has asked most often knows most.
+  auto Weight = [](const VoterContact &Of) {
+    return std::pair(Of.Leads, Of.SeenTerm);
+  };
+  if (Weight(Other.Contact) > Weight(Into.Contact) ||
+      (Weight(Other.Contact) == Weight(Into.Contact) &&
+       Other.Contact.Silent.size() > Into.Contact.Silent.size()))
+    Into.Contact = Other.Contact;
   if (Other.Version <= Into.Version)
     return;
   Into.Version = Other.Version;
@@ -148,6 +157,10 @@
   Report.Version = Published_.Version;
   for (const MemberId &Voter : State.Raft.Group.Members.Voters)
     Report.Voters.push_back(Voter.Vm);
+  Report.Contact.Leads = State.Raft.Current == Role::Leader;
+  Report.Contact.SeenTerm = State.Raft.Hard.Current;
+  for (const MemberId &Silent : reportGroup(State.Raft, Clock_.now()).Missing)
+    Report.Contact.Silent.push_back(Silent.Vm);
   Report.Watchers = report(Watchers_, Clock_.now());
   Report.History.assign(State.Machine.History.begin(),
                         State.Machine.History.end());
--- a/src/control/internal/rafttypes.h
+++ b/src/control/internal/rafttypes.h
@@ -31,7 +31,6 @@
 
 namespace geraniumbay::control {
 
-using Term = StrongId<struct TermTag, std::uint64_t>;
 /// The index of a log entry; the first entry has 1.
 using LogIndex = StrongId<struct LogIndexTag, std::uint64_t>;
 /// The id of a control group; 0 is none.
--- a/src/control/internal/statuswire.cpp
+++ b/src/control/internal/statuswire.cpp
@@ -65,10 +65,33 @@
   return Result;
 }
 
-RetVal<VmId> readVoter(const Json::Value &From) {
+Json::Value write(const std::vector<VmId> &Vms) {
+  Json::Value Result(Json::arrayValue);
+  for (const VmId &Vm : Vms) {
+    Json::Value Row(Json::objectValue);
+    Row["vm"] = Vm.value();
+    Result.append(std::move(Row));
+  }
+  return Result;
+}
+
+RetVal<VmId> readVm(const Json::Value &From) {
   return readName<VmId>(From, "vm");
 }
 
+RetVal<VoterContact> readContact(const Json::Value &From) {
+  VoterContact Result;
+  BOOST_LEAF_ASSIGN(Result.Leads, json::readBoolOr(From, "leads", false));
+  BOOST_LEAF_AUTO(SeenTerm, json::readUintOr(From, "term", 0));
+  Result.SeenTerm = Term(SeenTerm);
+  // A control VM of an older version says nothing of them.
+  if (!From.isMember("silent_voters"))
+    return Result;
+  BOOST_LEAF_ASSIGN(Result.Silent,
+                    readList<VmId>(From, "silent_voters", readVm));
+  return Result;
+}
+
 } // namespace
 
 Json::Value write(const ControlStatus &Value) {
@@ -77,12 +100,11 @@
   Result["control_vms"] = Json::Value(Json::arrayValue);
   for (const ControlVmStatus &Vm : Value.ControlVms)
     Result["control_vms"].append(write(Vm));
-  Result["voters"] = Json::Value(Json::arrayValue);
-  for (const VmId &Vm : Value.Voters) {
-    Json::Value Voter(Json::objectValue);
-    Voter["vm"] = Vm.value();
-    Result["voters"].append(std::move(Voter));
-  }
+  Result["voters"] = write(Value.Voters);
+  Result["silent_voters"] = write(Value.Contact.Silent);
+  Result["spare_voters"] = Json::Int64(spareVoters(Value));
+  Result["leads"] = Value.Contact.Leads;
+  Result["term"] = Json::UInt64(Value.Contact.SeenTerm.value());
   Result["watchers"] = Json::Value(Json::arrayValue);
   for (const WatcherStatus &Status : Value.Watchers)
     Result["watchers"].append(write(Status));
@@ -95,7 +117,8 @@
   BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
   BOOST_LEAF_ASSIGN(Result.ControlVms, readList<ControlVmStatus>(
                                            From, "control_vms", readControlVm));
-  BOOST_LEAF_ASSIGN(Result.Voters, readList<VmId>(From, "voters", readVoter));
+  BOOST_LEAF_ASSIGN(Result.Voters, readList<VmId>(From, "voters", readVm));
+  BOOST_LEAF_ASSIGN(Result.Contact, readContact(From));
   BOOST_LEAF_ASSIGN(Result.Watchers,
                     readList<WatcherStatus>(From, "watchers", readWatcher));
   BOOST_LEAF_ASSIGN(Result.History,
--- a/src/control/tests/servicetest.cpp
+++ b/src/control/tests/servicetest.cpp
@@ -269,6 +269,29 @@
     EXPECT_EQ(Vm.Reachable, Vm.Vm != VmId("c3")) << Vm.Vm;
 }
 
+TEST(ServiceTest, StatusNamesTheVotersThatAreSilent) {
+  ServiceFake Net;
+  Net.run(10s);
+  EXPECT_TRUE(Net.status().Contact.Silent.empty());
+  EXPECT_EQ(spareVoters(Net.status()), 1);
+  Net.Net.Cut.insert(Net.controlAt(2));
+  Net.run(10s);
+  ControlStatus Status = Net.status();
+  EXPECT_EQ(Status.Contact.Silent, std::vector<VmId>{VmId("c3")});
+  EXPECT_EQ(spareVoters(Status), 0);
+}
+
+TEST(ServiceTest, StatusWithoutAMajorityNamesWhoIsMissing) {
+  ServiceFake Net;
+  Net.run(10s);
+  Net.Net.Cut.insert(Net.controlAt(1));
+  Net.Net.Cut.insert(Net.controlAt(2));
+  Net.run(10s);
+  ControlStatus Status = Net.status();
+  EXPECT_EQ(Status.Contact.Silent, (std::vector<VmId>{VmId("c2"), VmId("c3")}));
+  EXPECT_EQ(spareVoters(Status), -1);
+}
+
 TEST(ServiceTest, AnOlderIncarnationIsRefused) {
   ServiceFake Net;
   auto Rpc = Net.process(1);
