--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -1,7 +1,7 @@
 //===- controlservice.cpp - One control VM on the network -----------------===//
 //
 // Start, the timer, consensus messages and proposals. Watching and status are
-// in controlreports.cpp.
+// in controlreports.cpp, what other parts of the process use in controllog.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -22,11 +22,6 @@
 constexpr Duration MessageTimeout = std::chrono::seconds(1);
 constexpr Duration SnapshotTimeout = std::chrono::seconds(10);
 constexpr Duration ForwardTimeout = std::chrono::seconds(4);
-/// For how long a VM that stops asks to be spared as a voter, and how often.
-/// Within the grace of a planned stop (6 s on the platform), and longer than an
-/// election takes after the hand-over (0.5 to 1 s).
-constexpr Duration LeaveTimeout = std::chrono::seconds(2);
-constexpr Duration LeaveRetry = std::chrono::milliseconds(20);
 /// The operation id of the first document.
 constexpr const char *FirstOperation = "first";
 /// A primary whose ledger process was heard this recently is not replaced.
@@ -350,95 +345,4 @@
     Proposal.mapped()(What.Answer);
 }
 
-std::optional<Endpoint> ControlService::addressOf(const VmId &Vm) const {
-  for (const ControlPeer &Peer : Options_.ControlVms)
-    if (Peer.Vm == Vm)
-      return Peer.At;
-  if (!Options_.AdmitsUnlisted)
-    return std::nullopt;
-  auto Named = attempt([&] { return parseEndpoint(Vm.value()); });
-  return Named ? std::optional<Endpoint>(*Named) : std::nullopt;
-}
-
-std::optional<LeaderTerm> ControlService::leadsIn() const {
-  if (!leads())
-    return std::nullopt;
-  return LeaderTerm(Runner_->replica().Raft.Hard.Current.value());
-}
-
-bool ControlService::holdsLease() const {
-  return !Runner_->failed() &&
-         control::holdsLease(Runner_->replica().Raft, Clock_.now());
-}
-
-std::optional<Endpoint> ControlService::leaderAddress() const {
-  const auto &Leader = Runner_->replica().Raft.Leader;
-  return Leader ? addressOf(Leader->Vm) : std::nullopt;
-}
-
-std::vector<Endpoint> ControlService::memberAddresses() const {
-  std::vector<Endpoint> Result;
-  const Membership &Members = Runner_->replica().Raft.Group.Members;
-  for (const auto *List : {&Members.Voters, &Members.Learners})
-    for (const MemberId &Member : *List)
-      if (auto At = addressOf(Member.Vm))
-        Result.push_back(*At);
-  return Result;
-}
-
-void ControlService::append(std::string Batch,
-                            std::function<void(Outcome<Done>)> Done) {
-  submitTyped(ModuleBatch{std::move(Batch)},
-              [Done = std::move(Done)](const Outcome<ProposalAnswer> &Result) {
-                if (Result)
-                  return Done(geraniumbay::Done{});
-                Done(Result.error());
-              });
-}
-
-void ControlService::change(ConfigChange Change,
-                            std::function<void(Outcome<ConfigAnswer>)> Answer) {
-  submitTyped(std::move(Change), [Answer = std::move(Answer)](
-                                     const Outcome<ProposalAnswer> &Result) {
-    if (!Result)
-      return Answer(Result.error());
-    Answer(std::get<ConfigAnswer>(*Result));
-  });
-}
-
-void ControlService::handOver() { Runner_->post(HandOver{}); }
-
-void ControlService::giveUpVote(std::function<void()> Done) {
-  askToLeave(Clock_.now() + LeaveTimeout, Done);
-}
-
-void ControlService::askToLeave(Time Until, const std::function<void()> &Done) {
-  auto Leader = leaderAddress();
-  bool Settled = Runner_->failed() || Clock_.now() >= Until;
-  if (Settled) {
-    logEvent(LogLevel::Warning, Module, "vote_not_given_up",
-             {{"vm", Options_.Self},
-              {"leader", Leader ? Leader->text() : ""},
-              {"reason", Runner_->failed() ? "the disk has failed"
-                                           : "no answer of a leader"}});
-    Leaving_ = true;
-    return Done();
-  }
-  auto Again = [this, Until, Done] {
-    Timers_.after(LeaveRetry, [this, Until, Done] { askToLeave(Until, Done); });
-  };
-  if (!Leader || Runner_->replica().Raft.Current == Role::Leader)
-    return Again();
-  Json::Value Params(Json::objectValue);
-  Params["vm"] = Options_.Self.value();
-  Client_.call(*Leader, "control.give_up_vote", std::move(Params),
-               MessageTimeout,
-               [this, Again, Done](const Outcome<Json::Value> &Result) {
-                 if (!Result)
-                   return Again();
-                 Leaving_ = true;
-                 Done();
-               });
-}
-
 } // namespace geraniumbay::control
--- a/src/jobs/ijobgateway.h
+++ b/src/jobs/ijobgateway.h
@@ -42,6 +42,14 @@
   std::string Reason;
 };
 
+/// An answer that says no more than what came of the request, and why.
+inline JobAnswer outcome(JobOutcome What, std::string Reason = "") {
+  JobAnswer Result;
+  Result.Outcome = What;
+  Result.Reason = std::move(Reason);
+  return Result;
+}
+
 /// Where a request goes and how long its caller waits.
 struct JobRequest {
   std::string Host;
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -8,6 +8,7 @@
 #define GERANIUMBAY_JOBS_INTERNAL_ENTRYASK_H
 
 #include "jobs/internal/entryjobs.h"
+#include "jobs/internal/jobmessages.h"
 
 namespace geraniumbay::jobs {
 
@@ -16,6 +17,19 @@
 /// been started or given up. Busy processes are late by less.
 constexpr Duration LongPause = std::chrono::milliseconds(500);
 
+/// How long a job may look for an owner: the time in which one is replaced.
+/// After it the caller is told to come back instead.
+constexpr Duration SearchTime = BeforeCallersReturn;
+/// What the caller is told to wait then.
+constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
+
+/// The answer to a job that no owner has had.
+inline JobAnswer notTaken(std::string Reason) {
+  JobAnswer Result = outcome(JobOutcome::NotTaken, std::move(Reason));
+  Result.RetryAfter = RetryAfterNoOwner;
+  return Result;
+}
+
 struct EntryJobs::Ask {
   Job Wanted;
   Callback Done;
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -1,6 +1,7 @@
 //===- entryjobs.cpp - Jobs on an entry -----------------------------------===//
 //
 // Callers' requests, and transient jobs on their way to the owner of the pool.
+// What comes back is in entryanswers.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,14 +20,9 @@
 namespace {
 
 constexpr const char *Module = "jobs";
-/// How long a job may look for an owner: the time in which one is replaced.
-/// After it the caller is told to come back instead.
-constexpr Duration SearchTime = BeforeCallersReturn;
 /// Requests that come within this time after a pause may have waited in a
 /// socket meanwhile: a loop takes all that waits there in a few turns.
 constexpr Duration AfterPause = std::chrono::milliseconds(50);
-/// What the caller is told to wait then.
-constexpr Duration RetryAfterNoOwner = std::chrono::seconds(1);
 /// A job that has not been sent keeps its pool for so long, the time in which
 /// the pool's owner is asked whether it is there.
 constexpr Duration ChoiceLasts = std::chrono::milliseconds(50);
@@ -43,19 +39,6 @@
   return static_cast<std::uint64_t>(std::max<WallMillis>(Clock.wallNow(), 1));
 }
 
-JobAnswer outcome(JobOutcome What, std::string Reason = "") {
-  JobAnswer Result;
-  Result.Outcome = What;
-  Result.Reason = std::move(Reason);
-  return Result;
-}
-
-JobAnswer notTaken(std::string Reason) {
-  JobAnswer Result = outcome(JobOutcome::NotTaken, std::move(Reason));
-  Result.RetryAfter = RetryAfterNoOwner;
-  return Result;
-}
-
 } // namespace
 
 EntryJobs::EntryJobs(EntryNeeds Needs, EntryPlace Self,
@@ -306,111 +289,6 @@
                      });
 }
 
-void EntryJobs::answered(const AskPtr &What, std::uint64_t Attempt,
-                         const Endpoint &From,
-                         const Outcome<Json::Value> &Result) {
-  if (Result && !Result->isMember("not_owner") &&
-      !Result->isMember("registered")) {
-    // The answer to an earlier sending is as good as any.
-    auto Answer = attempt([&] { return wire::readAnswer(*Result); });
-    if (Answer && Attempt == What->Attempt)
-      return settle(What, *Answer);
-    if (Answer && Answer->Outcome == JobOutcome::Known)
-      return finish(What, *Answer);
-  }
-  if (Attempt != What->Attempt)
-    return;
-  if (Result && (*Result)["registered"].isString())
-    return registered(What, PoolName((*Result)["registered"].asString()));
-  bool Refused = !Result && Result.error().Code == ErrorCode::Refused;
-  if (Refused)
-    for (auto &[Name, In] : Pools_)
-      noteRefused(In->view(), From, Needs_.Clock.now());
-  if (!Result && !Refused)
-    What->MaybeTaken = true;
-  if (Result) {
-    if (PoolMember *In = findPool(What->Pool))
-      In->takeClaim(*Result, From);
-    if (Result->isMember("maybe_taken"))
-      What->MaybeTaken = true;
-  }
-  What->SearchUntil = Needs_.Clock.now() + SearchTime;
-  park(What);
-}
-
-void EntryJobs::park(const AskPtr &What) {
-  // The tick sends it once there is an owner, or gives it up.
-  What->SentTo.reset();
-}
-
-void EntryJobs::redispatchParked() {
-  std::vector<AskPtr> Due;
-  for (const AskPtr &What : Asks_) {
-    PoolMember *In = findPool(What->Pool);
-    // One that waits for an owner who is no more is sent to the next.
-    if (!What->SentTo || !In || What->SentTo->At != In->view().Owner.At)
-      Due.push_back(What);
-  }
-  for (const AskPtr &What : Due)
-    redispatch(What);
-}
-
-void EntryJobs::redispatch(const AskPtr &What) {
-  Time Now = Needs_.Clock.now();
-  if (What->SentTo) {
-    What->MaybeTaken = true;
-    What->SearchUntil = Now + SearchTime;
-    park(What);
-  }
-  PoolMember *In = findPool(What->Pool);
-  if (What->MaybeTaken && !In)
-    // The workers have been divided anew meanwhile.
-    return finish(What, outcome(JobOutcome::Unknown, "its pool is no more"));
-  if (Now >= std::min(What->SearchUntil, What->GiveUp))
-    return finish(What, What->MaybeTaken
-                            ? outcome(JobOutcome::Unknown, "the owner was lost")
-                            : notTaken("no owner of the workers was found"));
-  if (What->Registering)
-    return;
-  bool Elsewhere = What->MaybeTaken && What->TakenBy != In->view().Owner.At;
-  if (!Elsewhere || Now >= givenUpBy(In->view(), What->TakenBy))
-    dispatch(What);
-}
-
-void EntryJobs::finish(const AskPtr &Asked, const JobAnswer &Answer) {
-  // Keeps the request: the caller may hold the last other reference to it.
-  auto Kept = Asks_.extract(Asked);
-  if (!Kept)
-    return;
-  const AskPtr &What = Kept.value();
-  ++What->Attempt;
-  // "Not run" must be true of every owner that had the job.
-  bool Doubtful = Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken;
-  JobAnswer Told =
-      Doubtful ? outcome(JobOutcome::Unknown, Answer.Reason) : Answer;
-  if (Told.Outcome == JobOutcome::NotTaken && What->Registered)
-    releaseJob(*What);
-  logAnswer(*What, Told);
-  What->Done(Told);
-}
-
-void EntryJobs::logAnswer(const Ask &Of, const JobAnswer &Told) const {
-  bool Served = Told.Outcome == JobOutcome::Known;
-  Time Now = Needs_.Clock.now();
-  logEvent(Served ? LogLevel::Info : LogLevel::Warning, Module, "job_answered",
-           {{"job", Of.Wanted.Id},
-            {"outcome", outcomeName(Told.Outcome)},
-            {"state", Served ? jobStateName(Told.State) : ""},
-            {"reason", Told.Reason},
-            {"queue", Of.Wanted.Queue},
-            {"configuration", RoutingFrom_},
-            {"pool", Of.Pool},
-            {"owner", Of.TakenBy.text()},
-            {"sendings", Of.Attempt},
-            {"took_us", (Now - Of.Since).count()},
-            {"left_us", (Of.GiveUp - Now).count()}});
-}
-
 void EntryJobs::refuse(const JobRequest &Request, const JobAnswer &Answer,
                        const Callback &Done) const {
   logEvent(LogLevel::Warning, Module, "job_refused",
