Run what timers leave at sockets before the loop frees any

Ruled out: jobs, scheduling and log (no line of theirs on any of the stacks); a fault in our buffers (a build with address checks found none in 10 soaks: the memory belongs to sockets of the library, which is not built that way). Change: the loop does the same for timers, right before it hands over to h2o.

--- a/src/framework/net/eventloop.cpp
+++ b/src/framework/net/eventloop.cpp
@@ -64,6 +64,13 @@
 }
 
 void EventLoop::waitForSockets(Duration MaxWait) {
+  // h2o frees closed sockets when its turn begins, and relies on it that none
+  // of them still has a callback to run: it runs these after each callback of
+  // its own. Timers run outside of it, so this is done for them here. Without
+  // it a socket that a timer wrote to and another closed is used after it was
+  // freed; where a signal had interrupted the wait between, the loop then ran
+  // for ever or the process ended (one in thirty pauses under traffic).
+  h2o_timeout__do_post_callback(Loop_);
   Duration Wait = MaxWait;
   if (auto Due = Timers_.nextDue())
     Wait = std::min(Wait, *Due - Clock_.now());
