--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 
     python3 soak.py --seed 7 --seconds 20
     python3 soak.py --seeds 1-50 --seconds 30
+    python3 soak.py --seeds 1-10 --seconds 60 --freezes
 """
 
 import argparse
@@ -391,6 +392,32 @@
             self.later(self.random.random(), machine.start)
 
 
+class Freezes(Faults):
+    """Entries that are frozen and woken in series, for a moment or for long.
+
+    A process that is woken finds all its timers due at once, and its wait for
+    sockets interrupted.
+    """
+
+    def draw(self):
+        machine = self.random.choice(self.fleet.entries)
+        if self.random.random() < 0.3:
+            self.note(f"restart {machine.name}")
+            machine.kill()
+            machine.start()
+            time.sleep(self.random.random() * 2.5)
+        for _ in range(self.random.randint(1, 3)):
+            most_frozen = self.random.choice((0.5, 3.5))
+            most_awake = self.random.choice((0.003, 0.03, 0.3))
+            frozen = 0.05 + self.random.random() * most_frozen
+            awake = self.random.random() * most_awake
+            self.note(f"freeze {machine.name} {frozen:.3f} awake {awake:.3f}")
+            machine.process.send_signal(signal.SIGSTOP)
+            time.sleep(frozen)
+            machine.process.send_signal(signal.SIGCONT)
+            time.sleep(awake)
+
+
 def started_jobs(fleet):
     with fleet.lock:
         return {task.split(".")[0] for task in fleet.places}
@@ -433,16 +460,17 @@
         ledger.breaks("twice", f"{task} on {holders} and {worker}")
 
 
-def play(seed, seconds, entries, workers):
+def play(seed, args):
     """Plays one seed; returns what broke, and keeps the logs if any did."""
-    fleet = SoakFleet(entries, workers)
+    fleet = SoakFleet(args.entries, args.workers)
     ledger = Ledger()
-    faults = Faults(fleet, seed)
+    faults = (Freezes if args.freezes else Faults)(fleet, seed)
     try:
         fleet.begin()
-        until = time.monotonic() + seconds
+        until = time.monotonic() + args.seconds
         threads = [
-            Caller(fleet, ledger, i, seed, until) for i in range(2 * entries)
+            Caller(fleet, ledger, i, seed, until)
+            for i in range(2 * args.entries)
         ]
         threads.append(ConfigWatch(fleet, ledger, seed, until))
         for thread in threads:
@@ -517,13 +545,15 @@
     parser.add_argument("--seeds", help="FIRST-LAST")
     parser.add_argument("--failed", action="store_true",
                         help="the seeds that ever failed")
+    parser.add_argument("--freezes", action="store_true",
+                        help="only freeze and restart entries")
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--workers", type=int, default=4)
     args = parser.parse_args()
     broken = 0
     for seed in seeds_of(args):
-        broken += len(play(seed, args.seconds, args.entries, args.workers))
+        broken += len(play(seed, args))
     return 1 if broken else 0
 
 
