--- a/src/control/controlstatus.h
+++ b/src/control/controlstatus.h
@@ -57,6 +57,7 @@
 struct VoterContact {
   /// It leads; then its word goes before that of others.
   bool Leads = false;
+  /// The newest term that it knows.
   Term SeenTerm;
   /// The voters that do not answer: of a leader, its heartbeats; of a VM that
   /// hears no leader, its question for votes. Others cannot tell.
@@ -70,6 +71,7 @@
   std::vector<ControlVmStatus> ControlVms;
   /// The voters of the group, as the VM that answers knows them.
   std::vector<VmId> Voters;
+  /// Of the leader if one was reached.
   VoterContact Contact;
   std::vector<WatcherStatus> Watchers;
   std::vector<ChangeRecord> History;
--- a/src/control/internal/controlreports.cpp
+++ b/src/control/internal/controlreports.cpp
@@ -10,7 +10,7 @@
 #include "framework/log/log.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace geraniumbay::control {
 
@@ -66,13 +66,11 @@
     for (ControlVmStatus &Known : Into.ControlVms)
       if (Known.Vm == Vm.Vm)
         Known = Vm;
-  // Without a leader the VM that has asked most often knows most.
+  // Only who leads or asks for votes can name silent voters.
   auto Weight = [](const VoterContact &Of) {
-    return std::pair(Of.Leads, Of.SeenTerm);
+    return std::tuple(Of.Leads, Of.SeenTerm, Of.Silent.size());
   };
-  if (Weight(Other.Contact) > Weight(Into.Contact) ||
-      (Weight(Other.Contact) == Weight(Into.Contact) &&
-       Other.Contact.Silent.size() > Into.Contact.Silent.size()))
+  if (Weight(Other.Contact) > Weight(Into.Contact))
     Into.Contact = Other.Contact;
   if (Other.Version <= Into.Version)
     return;
--- a/src/control/internal/statuswire.cpp
+++ b/src/control/internal/statuswire.cpp
@@ -81,7 +81,7 @@
 
 RetVal<VoterContact> readContact(const Json::Value &From) {
   VoterContact Result;
-  BOOST_LEAF_ASSIGN(Result.Leads, json::readBoolOr(From, "leads", false));
+  BOOST_LEAF_ASSIGN(Result.Leads, json::readBoolOr(From, "has_leader", false));
   BOOST_LEAF_AUTO(SeenTerm, json::readUintOr(From, "term", 0));
   Result.SeenTerm = Term(SeenTerm);
   // A control VM of an older version says nothing of them.
@@ -103,7 +103,7 @@
   Result["voters"] = write(Value.Voters);
   Result["silent_voters"] = write(Value.Contact.Silent);
   Result["spare_voters"] = Json::Int64(spareVoters(Value));
-  Result["leads"] = Value.Contact.Leads;
+  Result["has_leader"] = Value.Contact.Leads;
   Result["term"] = Json::UInt64(Value.Contact.SeenTerm.value());
   Result["watchers"] = Json::Value(Json::arrayValue);
   for (const WatcherStatus &Status : Value.Watchers)
--- a/src/framework/tests/eventlooptest.cpp
+++ b/src/framework/tests/eventlooptest.cpp
@@ -12,9 +12,10 @@
 
 #include "framework/tests/nettestutil.h"
 
+#include <gtest/gtest.h>
+
 #include <atomic>
 #include <csignal>
-#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <sys/socket.h>
@@ -68,10 +69,11 @@
     Name.sin_family = AF_INET;
     Name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     Listening_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    ::bind(Listening_, reinterpret_cast<sockaddr *>(&Name), sizeof(Name));
-    ::listen(Listening_, SOMAXCONN);
+    auto *Bound = reinterpret_cast<sockaddr *>(&Name);
     socklen_t Size = sizeof(Name);
-    ::getsockname(Listening_, reinterpret_cast<sockaddr *>(&Name), &Size);
+    EXPECT_EQ(::bind(Listening_, Bound, Size), 0);
+    EXPECT_EQ(::listen(Listening_, SOMAXCONN), 0);
+    EXPECT_EQ(::getsockname(Listening_, Bound, &Size), 0);
     Address = {"127.0.0.1", ntohs(Name.sin_port)};
     std::thread([Listening = Listening_] { serve(Listening); }).detach();
   }
