Say each thing once: spare voters, refusals, answers; keep a job's id before it moves

Behaviour is meant to stay as it is. Cause and change, one by one: - The owner of a job's home kept the id for the release of its claim from an object that the same call moves from. The id is taken first now. Not seen in use. - The home of a job computed the score of each pool up to twice; once now. - Two formulas for the voters that may still be lost are one. - A refusal was noted in two places of the scheduler: noteRefusal(). - Three answers were put together by hand beside outcome(). - takeClaim() meant two things: the entry's is claimFor(). - The process tests waited for workers in a loop beside wait_until().

--- a/src/control/controlstatus.h
+++ b/src/control/controlstatus.h
@@ -77,11 +77,16 @@
   std::vector<ChangeRecord> History;
 };
 
-/// How many more voters may be lost; below 0 there is no majority.
+/// How many of \p Voters may be lost beside the \p Silent ones; below 0 there
+/// is no majority.
+inline std::ptrdiff_t spareVoters(std::size_t Voters, std::size_t Silent) {
+  return static_cast<std::ptrdiff_t>(Voters) -
+         static_cast<std::ptrdiff_t>(Silent) -
+         static_cast<std::ptrdiff_t>(Voters / 2 + 1);
+}
+
 inline std::ptrdiff_t spareVoters(const ControlStatus &Status) {
-  auto Voters = static_cast<std::ptrdiff_t>(Status.Voters.size());
-  auto Silent = static_cast<std::ptrdiff_t>(Status.Contact.Silent.size());
-  return Voters - Silent - (Voters / 2 + 1);
+  return spareVoters(Status.Voters.size(), Status.Contact.Silent.size());
 }
 
 /// A process that was not heard for longer is reported as cut off.
--- a/src/control/internal/groupreport.cpp
+++ b/src/control/internal/groupreport.cpp
@@ -2,6 +2,7 @@
 
 #include "control/internal/groupreport.h"
 
+#include "control/controlstatus.h"
 #include "control/internal/raftparts.h"
 
 #include <algorithm>
@@ -78,10 +79,7 @@
   for (const MemberId &Voter : Voters)
     if (isMissing(State, Voter, Now))
       Result.Missing.push_back(Voter);
-  auto Present = static_cast<std::ptrdiff_t>(Voters.size()) -
-                 static_cast<std::ptrdiff_t>(Result.Missing.size());
-  auto Majority = static_cast<std::ptrdiff_t>(Voters.size() / 2 + 1);
-  Result.Spare = Present - Majority;
+  Result.Spare = spareVoters(Voters.size(), Result.Missing.size());
   Result.WaitsFor = waitOf(State, !Result.Missing.empty(), Now);
   return Result;
 }
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -131,9 +131,9 @@
   /// Writes whose job it is and which pool it is meant for.
   void writeAsker(const Ask &What, Json::Value &Params) const;
   void writeClaim(const Ask &What, Json::Value &Params) const;
-  /// Takes the claim that a message of another entry carries.
-  PoolName takeClaim(const JobId &Id, const WaiterId &By,
-                     const PoolName &Wanted, const Json::Value &Params);
+  /// Claims a job of another entry, as its message \p Params says.
+  PoolName claimFor(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
+                    const Json::Value &Params);
   void answerRegister(const Json::Value &Params, const Reply &Answer);
 
   // Transient jobs of this entry's callers (entryjobs.cpp).
--- a/src/jobs/internal/intake.cpp
+++ b/src/jobs/internal/intake.cpp
@@ -237,8 +237,7 @@
   if (Decided.What == scheduling::Verdict::Refused || Job.Late ||
       isStale(Job, Now)) {
     constexpr const char *Reason = "no worker was free in time";
-    Refused_[Id] = {
-        Now, TransientEnd{JobState::Cancelled, Reason, Decided.RetryAfter}};
+    noteRefusal(Id, Reason, Decided.RetryAfter, Now);
     return cancelTransient(Id, Reason, Decided.RetryAfter);
   }
   Job.Late = true;
--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -150,9 +150,7 @@
       Answer->Outcome = JobOutcome::Unknown;
     return What->Done(*Answer);
   }
-  JobAnswer Unreadable;
-  Unreadable.Reason = Answer.error().Message;
-  What->Done(Unreadable);
+  What->Done(outcome(JobOutcome::Unknown, Answer.error().Message));
 }
 
 void JobGateway::tryAgain(const std::shared_ptr<Ask> &What) {
@@ -161,9 +159,8 @@
     Timers_.after(Pause, [this, What] { attemptAsk(What); });
     return;
   }
-  JobAnswer Answer;
-  Answer.Outcome =
-      What->MaybeTaken ? JobOutcome::Unknown : JobOutcome::NotTaken;
+  JobAnswer Answer =
+      outcome(What->MaybeTaken ? JobOutcome::Unknown : JobOutcome::NotTaken);
   Answer.RetryAfter = RetryAfterNoLeader;
   Answer.Reason = "no leader was found";
   What->Done(Answer);
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -2,8 +2,6 @@
 
 #include "jobs/internal/jobregister.h"
 
-#include <algorithm>
-
 namespace geraniumbay::jobs {
 
 namespace {
@@ -21,11 +19,16 @@
 
 std::optional<PoolName> homeOf(const JobId &Id,
                                const std::vector<PoolName> &Pools) {
-  auto Best = std::max_element(Pools.begin(), Pools.end(),
-                               [&](const PoolName &One, const PoolName &Two) {
-                                 return scoreOf(Id, One) < scoreOf(Id, Two);
-                               });
-  return Best == Pools.end() ? std::nullopt : std::optional<PoolName>(*Best);
+  std::optional<PoolName> Home;
+  std::size_t Highest = 0;
+  for (const PoolName &Pool : Pools) {
+    std::size_t Score = scoreOf(Id, Pool);
+    if (Home && Score <= Highest)
+      continue;
+    Home = Pool;
+    Highest = Score;
+  }
+  return Home;
 }
 
 PoolName JobRegister::claim(const JobId &Id, const WaiterId &By,
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -306,10 +306,11 @@
              {{"job", Wanted->Id}, {"origin", Origin->text()}});
     return Answer(NotOwner(In, false));
   }
+  JobId Id = Wanted->Id;
   WaiterId From = waiterOf(Params, *Origin);
   bool AtHome = wire::isSet(Params, "at_home");
   if (AtHome) {
-    PoolName Claimed = takeClaim(Wanted->Id, From, In->name(), Params);
+    PoolName Claimed = claimFor(Id, From, In->name(), Params);
     if (Claimed != In->name()) {
       Json::Value Result(Json::objectValue);
       Result["registered"] = Claimed.value();
@@ -323,7 +324,7 @@
       wire::isSet(Params, "maybe_taken")};
   In->scheduler()->run(std::move(*Wanted), How,
                        [this, Answer, NotOwner, In, From, AtHome,
-                        Id = Wanted->Id](const Outcome<TransientEnd> &Ended) {
+                        Id](const Outcome<TransientEnd> &Ended) {
                          // What is refused here may go to any pool.
                          if (AtHome && wasRefused(Ended))
                            Register_.release(Id, From);
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -128,9 +128,9 @@
                      });
 }
 
-PoolName EntryJobs::takeClaim(const JobId &Id, const WaiterId &By,
-                              const PoolName &Wanted,
-                              const Json::Value &Params) {
+PoolName EntryJobs::claimFor(const JobId &Id, const WaiterId &By,
+                             const PoolName &Wanted,
+                             const Json::Value &Params) {
   std::set<PoolName> RefusedBy;
   if (Params["refused_by"].isArray())
     for (const Json::Value &Each : Params["refused_by"])
@@ -150,8 +150,7 @@
   if (wire::isSet(Params, "release"))
     Register_.release(JobId(*Job), By);
   else
-    Result["pool"] =
-        takeClaim(JobId(*Job), By, PoolName(*Pool), Params).value();
+    Result["pool"] = claimFor(JobId(*Job), By, PoolName(*Pool), Params).value();
   Answer(std::move(Result));
 }
 
--- a/src/jobs/internal/submission.cpp
+++ b/src/jobs/internal/submission.cpp
@@ -24,14 +24,12 @@
 }
 
 JobAnswer answerOfEnd(const TransientEnd &Ended) {
-  JobAnswer Result;
   if (Ended.State == JobState::Cancelled) {
-    Result.Outcome = JobOutcome::NotTaken;
-    Result.Reason = Ended.Reason;
-    Result.RetryAfter = Ended.RetryAfter;
-    return Result;
+    JobAnswer Refusal = outcome(JobOutcome::NotTaken, Ended.Reason);
+    Refusal.RetryAfter = Ended.RetryAfter;
+    return Refusal;
   }
-  Result.Outcome = JobOutcome::Known;
+  JobAnswer Result = outcome(JobOutcome::Known);
   Result.State = Ended.State;
   return Result;
 }
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -54,13 +54,9 @@
   if (!How.MaybeTaken && !hasOrphans(Id) && knowsWorkersOf(New.Service)) {
     scheduling::Waits Known = forecastFor(New, Now);
     scheduling::Admission Decided = admissionOf(New, Coming, Known);
-    if (Decided.What == scheduling::Verdict::Refused) {
-      TransientEnd Refusal{JobState::Cancelled,
-                           "the backlog is too long to end in time",
-                           Decided.RetryAfter};
-      Refused_[Id] = {Now, Refusal};
-      return Ended(Refusal);
-    }
+    if (Decided.What == scheduling::Verdict::Refused)
+      return Ended(noteRefusal(Id, "the backlog is too long to end in time",
+                               Decided.RetryAfter, Now));
     Coming.Late = Decided.What == scheduling::Verdict::Late;
     if (!Coming.Late)
       Coming.Forecast = Known.InTurn;
@@ -233,6 +229,13 @@
     Each.Ended(Ended);
 }
 
+TransientEnd Scheduler::noteRefusal(const JobId &Id, const char *Reason,
+                                    Duration RetryAfter, Time Now) {
+  TransientEnd Refusal{JobState::Cancelled, Reason, RetryAfter};
+  Refused_[Id] = {Now, Refusal};
+  return Refusal;
+}
+
 void Scheduler::forgetTransient(Time Now) {
   std::erase_if(Refused_, [&](const auto &Entry) {
     return Now - Entry.second.first >= RefusalStands;
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -52,11 +52,15 @@
 
 
 def wait_until(condition, seconds, what):
-    """Waits until the condition holds, or fails after so many seconds."""
+    """Waits until the condition holds, or fails after so many seconds.
+
+    What was waited for is a text, or a function that tells more at the end.
+    """
     deadline = time.monotonic() + seconds
     while not condition():
         if time.monotonic() > deadline:
-            raise AssertionError("timed out: " + what)
+            told = what() if callable(what) else what
+            raise AssertionError("timed out: " + told)
         time.sleep(0.05)
 
 
@@ -291,12 +295,16 @@
         for name, (_, address) in self.workers.items():
             if name not in self.processes:
                 continue
-            deadline = time.monotonic() + READY_SECONDS
-            while call(address, "GET", "/starts").status != 200:
-                ended = self.processes[name].poll() is not None
-                if ended or time.monotonic() > deadline:
-                    raise AssertionError(self._why_silent(name))
-                time.sleep(0.02)
+            wait_until(
+                lambda name=name, address=address: self._listens(name, address),
+                READY_SECONDS,
+                lambda name=name: self._why_silent(name),
+            )
+
+    def _listens(self, name, address):
+        if self.processes[name].poll() is not None:
+            raise AssertionError(self._why_silent(name))
+        return call(address, "GET", "/starts").status == 200
 
     def _why_silent(self, name):
         code = self.processes[name].poll()
