Let idle workers wait a second with the answer to a hold

Change: a worker on which nothing runs may wait a second; once something runs, a short hold replaces the long one after 100 ms, since the lease must be renewed. The end itself comes with either. A worker that leaves an order unanswered for 50 ms gets further tasks only if no other has room.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -119,14 +119,14 @@
         !hasRoom(Each, Task.Needs) || !suits(Each, Step, Task.Id) ||
         !isTrusted(Each))
       continue;
-    // Where a run of it has failed, or takes long, it goes only if nobody else
-    // has room.
+    // Where a run of it has failed, takes long or may not arrive it goes only
+    // if nobody else has room.
     bool Failed = FailedAt != FailedAt_.end() && FailedAt->second == Id;
     double Factor = paceFactorOf(Each, Now);
     bool Slow = Factor >= scheduling::SlowFactor;
     if (Slow && (!Each.Runs.empty() || !isWorthIt(Task, Factor, Now)))
       continue;
-    if (Failed || Slow) {
+    if (Failed || Slow || hasUnansweredStart(Each, Now)) {
       Again = &Each;
       continue;
     }
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -18,6 +18,9 @@
 constexpr Duration FirstDistrustPause = std::chrono::milliseconds(400);
 constexpr std::uint32_t MaxDoublings = 4;
 
+/// A worker answers an order in some milliseconds.
+constexpr Duration UsualAnswer = std::chrono::milliseconds(50);
+
 bool lists(const std::vector<RunningTask> &Running, const TaskId &Task,
            RunNumber Number) {
   return std::any_of(Running.begin(), Running.end(),
@@ -141,7 +144,29 @@
 bool isHoldOverdue(const WorkerSession &Session, const LeaseSettings &Settings,
                    Time Now) {
   return Session.HoldUnderWay && !Session.HoldRepeated &&
-         Now - Session.HoldSent >= Settings.HoldWait + Settings.RepeatAfter;
+         Now - Session.HoldSent >= Session.HoldFor + Settings.RepeatAfter;
+}
+
+bool isHoldTooLong(const WorkerSession &Session, const LeaseSettings &Settings,
+                   Time Now) {
+  Time Began = std::max(Session.HoldSent, Session.BusySince);
+  return Session.HoldUnderWay && !Session.Runs.empty() &&
+         Session.HoldFor > Settings.HoldWait &&
+         Now - Began >= Settings.HoldWait;
+}
+
+Duration nextHoldWait(const WorkerSession &Session,
+                      const LeaseSettings &Settings) {
+  return Session.Runs.empty() ? Settings.IdleHoldWait : Settings.HoldWait;
+}
+
+bool hasUnansweredStart(const WorkerSession &Session, Time Now) {
+  return std::any_of(Session.Runs.begin(), Session.Runs.end(),
+                     [&](const auto &Entry) {
+                       const Run &Each = Entry.second;
+                       return !Each.Confirmed && !Each.Adopted &&
+                              Now - Each.Since >= UsualAnswer;
+                     });
 }
 
 bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now) {
@@ -167,6 +192,8 @@
 
 void addRun(WorkerSession &Session, const TaskId &Task, Run Added) {
   removeRun(Session, Task);
+  if (Session.Runs.empty())
+    Session.BusySince = Added.Since;
   Session.Used.CpuMillis += Added.Needs.CpuMillis;
   Session.Used.MemoryMb += Added.Needs.MemoryMb;
   Session.Used.Gpus += Added.Needs.Gpus;
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -45,6 +45,8 @@
   WorkerInfo Info;
   /// By task. Invariant: Used is the sum of their needs.
   std::unordered_map<TaskId, Run> Runs;
+  /// Of a worker with runs: since when it has had any.
+  Time BusySince;
   Resources Used;
 
   /// A moment of the worker's clock and the latest time here at which it was.
@@ -77,8 +79,10 @@
   /// Counts the holds; an answer to an earlier one is as good, but only the
   /// latest is followed by another.
   std::uint64_t HoldSerial = 0;
-  /// When the latest hold was sent.
+  /// When the latest hold was sent, and how long the worker may wait with its
+  /// answer.
   Time HoldSent;
+  Duration HoldFor{0};
   /// The latest hold was sent because the one before it is overdue.
   bool HoldRepeated = false;
   /// When the hold was sent that renewed the lease last, of those answered.
@@ -114,6 +118,10 @@
   /// with 400 ms, and one order in 18 lost, a twelfth of all ends came half a
   /// second late. It costs some calls more to workers on which little ends.
   Duration HoldWait = std::chrono::milliseconds(100);
+  /// The same for a worker on which nothing runs. Its next end is heard all the
+  /// same, since it answers when a task ends. Most workers of a large pool are
+  /// idle, and their holds would take most of an owner's processor time.
+  Duration IdleHoldWait = std::chrono::milliseconds(1000);
   /// A hold that is this much overdue is repeated: ten times a round trip.
   Duration RepeatAfter = std::chrono::milliseconds(30);
   /// How long an order to start is valid. One that gets no answer is known to
@@ -154,6 +162,19 @@
 bool isHoldOverdue(const WorkerSession &Session, const LeaseSettings &Settings,
                    Time Now);
 
+/// Whether the hold under way was sent while nothing ran there and would come
+/// too late for what runs now.
+bool isHoldTooLong(const WorkerSession &Session, const LeaseSettings &Settings,
+                   Time Now);
+
+/// How long the worker may wait with the answer to the next hold.
+Duration nextHoldWait(const WorkerSession &Session,
+                      const LeaseSettings &Settings);
+
+/// Whether an order to start has got no answer there for longer than a worker
+/// takes. It may be out of reach.
+bool hasUnansweredStart(const WorkerSession &Session, Time Now);
+
 /// Notes a moment of the worker's clock that an answer brought. Returns false
 /// if an answer from a later moment was seen before.
 bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now);
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -62,7 +62,8 @@
 void Scheduler::hold(WorkerSession &With) {
   Time Now = Needs_.Clock.now();
   bool Overdue = isHoldOverdue(With, Lease_, Now);
-  if ((With.HoldUnderWay && !Overdue) || !Needs_.MayOrder())
+  bool Due = !With.HoldUnderWay || Overdue || isHoldTooLong(With, Lease_, Now);
+  if (!Due || !Needs_.MayOrder())
     return;
   HoldOrder Order;
   Order.Token = Token_;
@@ -71,11 +72,12 @@
   // runs there is known, nor to a worker whose silence must come to an end.
   if (With.Known && !With.Silent && !With.Foreign) {
     Order.LeaseUntil = leaseUntil(With, Lease_, Lease_.Longest, Now);
-    Order.Wait = Lease_.HoldWait;
+    Order.Wait = nextHoldWait(With, Lease_);
     noteLease(With, Lease_, Lease_.Longest, Now);
   }
   With.HoldUnderWay = true;
   With.HoldSent = Now;
+  With.HoldFor = Order.Wait;
   With.HoldRepeated = Overdue;
   ++With.HoldSerial;
   Needs_.Workers.hold(
@@ -304,7 +306,9 @@
     if (With.Silent && !With.Runs.empty() && Now >= With.LeaseEnds)
       loseRuns(With, "lease over");
     bool Recording = With.TakenEnd != With.RecordedEnd;
-    if (isHoldOverdue(With, Lease_, Now) || (!Recording && Now >= With.RetryAt))
+    bool Replaced =
+        isHoldOverdue(With, Lease_, Now) || isHoldTooLong(With, Lease_, Now);
+    if (Replaced || (!Recording && Now >= With.RetryAt))
       hold(With);
   }
 }
