Let orders be valid for as long as the owner's own take

Cause: an owner with 0.12 cores sends fifteen orders of a wide job at once and reads the last answer 75 to 130 ms later.

Ruled out: missing connections to the workers.

Change: the owner learns how long its orders take (src/scheduling/calltiming) and makes them valid for twice that; holds wait 200 ms, and 100 ms only where answers get lost.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -167,7 +167,7 @@
   Order.Task = Task.Id;
   Order.Run = nextRun(Of, Task.Id);
   Order.Payload = Of.Spec.Payload;
-  Duration Valid = orderValidity(On, Lease_, Now);
+  Duration Valid = orderValidity(On, Lease_, Timing_, Now);
   Order.LeaseUntil = leaseUntil(On, Lease_, Valid, Now);
   Order.Token = Token_;
   noteLease(On, Lease_, Valid, Now);
@@ -195,10 +195,10 @@
                           checkStart(Worker, Task, Number);
                       });
   Needs_.Workers.start({On.Info.Worker, On.Info.At}, Order,
-                       [this, Alive = Alive_, Worker = On.Info.Worker,
-                        Order](const StartAnswer &Answer) {
+                       [this, Alive = Alive_, Worker = On.Info.Worker, Order,
+                        Now](const StartAnswer &Answer) {
                          if (*Alive)
-                           started(Worker, Order, Answer);
+                           started(Worker, Order, Now, Answer);
                        });
 }
 
@@ -221,8 +221,17 @@
   look(*On);
 }
 
+void Scheduler::noteTiming(const WorkerSession &On, Time Sent,
+                           const StartAnswer &Answer) {
+  Time Now = Needs_.Clock.now();
+  if (Answer.Result != StartResult::Unknown)
+    return scheduling::noteAnswered(Timing_, Now - Sent);
+  if (On.LookedAt > Sent)
+    scheduling::noteAnswerLost(Timing_, Now);
+}
+
 void Scheduler::started(const WorkerId &Worker, const StartOrder &Order,
-                        const StartAnswer &Answer) {
+                        Time Sent, const StartAnswer &Answer) {
   const TaskId &Task = Order.Task;
   RunNumber Number = Order.Run;
   Needs_.Measured.count("geraniumbay_starts_total",
@@ -231,6 +240,7 @@
   WorkerSession *On = session(Worker);
   if (!On)
     return;
+  noteTiming(*On, Sent, Answer);
   if (Answer.Result == StartResult::Gone)
     return dropWorker(Worker, "another incarnation answered");
   if (Answer.Result == StartResult::Fenced)
@@ -242,7 +252,6 @@
     Found->second.Confirmed = true;
     if (Answer.Clock)
       Found->second.ShownAfter = *Answer.Clock;
-    noteOrderInTime(*On, Lease_);
     return;
   }
   logEvent(LogLevel::Warning, Module, "start_failed",
@@ -258,8 +267,6 @@
     return;
   }
   Time Now = Needs_.Clock.now();
-  if (Answer.Result == StartResult::Late)
-    noteOrderLate(*On, Lease_);
   if (Answer.Result != StartResult::Late &&
       Answer.Result != StartResult::OutOfOrder)
     On->RestUntil = Now + RestAfterRefusal;
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -23,6 +23,7 @@
 #include "jobs/jobstore.h"
 #include "scheduling/admission.h"
 #include "scheduling/arrivals.h"
+#include "scheduling/calltiming.h"
 #include "scheduling/forecast.h"
 #include "scheduling/forecastskill.h"
 #include "scheduling/runtimes.h"
@@ -217,8 +218,10 @@
   };
   /// Asks the worker what became of an order that it has not answered.
   void checkStart(const WorkerId &Worker, const TaskId &Task, RunNumber Number);
-  void started(const WorkerId &Worker, const StartOrder &Order,
+  void started(const WorkerId &Worker, const StartOrder &Order, Time Sent,
                const StartAnswer &Answer);
+  void noteTiming(const WorkerSession &On, Time Sent,
+                  const StartAnswer &Answer);
   RunNumber nextRun(const Job &Of, const TaskId &Task);
 
   // Conversations with workers (workerwatch.cpp).
@@ -255,6 +258,7 @@
   bool TakenOver_ = false;
 
   std::map<WorkerId, WorkerSession> Sessions_;
+  scheduling::CallTiming Timing_;
   /// Where each known run is. Invariant: agrees with Sessions_.
   std::unordered_map<TaskId, WorkerId> Places_;
   /// Tasks that may start now, in order.
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -121,24 +121,14 @@
 }
 
 Duration orderValidity(const WorkerSession &Session,
-                       const LeaseSettings &Settings, Time Now) {
+                       const LeaseSettings &Settings,
+                       const scheduling::CallTiming &Timing, Time Now) {
   bool Renewed =
       Session.RenewedAt && Now - *Session.RenewedAt < Settings.FreshLease;
   if (!Renewed || Session.Runs.empty())
     return Settings.Longest;
-  return std::max(Session.OrderValid, Settings.OrderValid);
-}
-
-void noteOrderLate(WorkerSession &Session, const LeaseSettings &Settings) {
-  Duration Valid = std::max(Session.OrderValid, Settings.OrderValid);
-  Session.OrderValid = std::min(Valid * 2, Settings.Longest);
-}
-
-void noteOrderInTime(WorkerSession &Session, const LeaseSettings &Settings) {
-  // Back to the least within some tens of orders.
-  constexpr int Part = 16;
-  Session.OrderValid = std::max(Session.OrderValid - Session.OrderValid / Part,
-                                Settings.OrderValid);
+  return scheduling::orderValidity(Timing, Settings.OrderValid,
+                                   Settings.Longest);
 }
 
 bool isHoldOverdue(const WorkerSession &Session, const LeaseSettings &Settings,
@@ -156,8 +146,12 @@
 }
 
 Duration nextHoldWait(const WorkerSession &Session,
-                      const LeaseSettings &Settings) {
-  return Session.Runs.empty() ? Settings.IdleHoldWait : Settings.HoldWait;
+                      const LeaseSettings &Settings,
+                      const scheduling::CallTiming &Timing, Time Now) {
+  if (Session.Runs.empty())
+    return Settings.IdleHoldWait;
+  return scheduling::losesAnswers(Timing, Now) ? Settings.LossyHoldWait
+                                               : Settings.HoldWait;
 }
 
 bool hasUnansweredStart(const WorkerSession &Session, Time Now) {
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -16,6 +16,7 @@
 #define GERANIUMBAY_JOBS_INTERNAL_WORKERSESSION_H
 
 #include "jobs/workerdirectory.h"
+#include "scheduling/calltiming.h"
 #include "scheduling/workerpace.h"
 
 #include <unordered_map>
@@ -87,8 +88,6 @@
   bool HoldRepeated = false;
   /// When the hold was sent that renewed the lease last, of those answered.
   std::optional<Time> RenewedAt;
-  /// How long an order to start is valid there.
-  Duration OrderValid{0};
   /// When the latest question was sent that it has answered.
   Time LookedAt;
   /// The highest end that is recorded in the log or needs no record.
@@ -113,22 +112,20 @@
   Duration KeepOrphans{0};
   /// The earlier owner has let go, so that their lease may be renewed too.
   bool RenewOrphans = false;
-  /// How long a worker waits for an end before it answers a hold. A hold whose
-  /// answer is lost hides all ends until it is repeated, so the time is short:
-  /// with 400 ms, and one order in 18 lost, a twelfth of all ends came half a
-  /// second late. It costs some calls more to workers on which little ends.
-  Duration HoldWait = std::chrono::milliseconds(100);
+  /// How long a worker waits for an end before it answers a hold.
+  Duration HoldWait = std::chrono::milliseconds(200);
+  /// The same where answers get lost: a hold whose answer is lost hides all
+  /// ends until it is repeated.
+  Duration LossyHoldWait = std::chrono::milliseconds(100);
   /// The same for a worker on which nothing runs. Its next end is heard all the
   /// same, since it answers when a task ends. Most workers of a large pool are
   /// idle, and their holds would take most of an owner's processor time.
   Duration IdleHoldWait = std::chrono::milliseconds(1000);
   /// A hold that is this much overdue is repeated: ten times a round trip.
   Duration RepeatAfter = std::chrono::milliseconds(30);
-  /// How long an order to start is valid. One that gets no answer is known to
-  /// be dead after that, instead of after the lease: a task of 60 ms then
-  /// starts elsewhere in time for an objective of 156 ms. Where orders arrive
-  /// later than this they are refused, and the worker's next ones are valid
-  /// for twice as long.
+  /// How long an order to start is valid at least. One that gets no answer is
+  /// known to be dead after that, instead of after the lease: a task of 60 ms
+  /// then starts elsewhere in time for an objective of 156 ms.
   Duration OrderValid = std::chrono::milliseconds(60);
   /// A lease that was renewed by a hold within this time outlives an order; an
   /// order to a worker without one carries a whole lease itself.
@@ -153,10 +150,8 @@
 
 /// How long the next order to start is valid; the lease that it carries.
 Duration orderValidity(const WorkerSession &Session,
-                       const LeaseSettings &Settings, Time Now);
-/// Notes that an order came too late, or in time.
-void noteOrderLate(WorkerSession &Session, const LeaseSettings &Settings);
-void noteOrderInTime(WorkerSession &Session, const LeaseSettings &Settings);
+                       const LeaseSettings &Settings,
+                       const scheduling::CallTiming &Timing, Time Now);
 
 /// Whether the hold under way is overdue and has not been repeated yet.
 bool isHoldOverdue(const WorkerSession &Session, const LeaseSettings &Settings,
@@ -169,7 +164,8 @@
 
 /// How long the worker may wait with the answer to the next hold.
 Duration nextHoldWait(const WorkerSession &Session,
-                      const LeaseSettings &Settings);
+                      const LeaseSettings &Settings,
+                      const scheduling::CallTiming &Timing, Time Now);
 
 /// Whether an order to start has got no answer there for longer than a worker
 /// takes. It may be out of reach.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -72,7 +72,7 @@
   // runs there is known, nor to a worker whose silence must come to an end.
   if (With.Known && !With.Silent && !With.Foreign) {
     Order.LeaseUntil = leaseUntil(With, Lease_, Lease_.Longest, Now);
-    Order.Wait = nextHoldWait(With, Lease_);
+    Order.Wait = nextHoldWait(With, Lease_, Timing_, Now);
     noteLease(With, Lease_, Lease_.Longest, Now);
   }
   With.HoldUnderWay = true;
@@ -141,7 +141,10 @@
     return dropWorker(Worker, "another incarnation answered");
   if (!Answer && Answer.error().Code == ErrorCode::Conflict)
     return Needs_.Fenced(Order.Token);
-  // One that was repeated says nothing by its silence.
+  if (!Answer && Answer.error().Code == ErrorCode::Timeout &&
+      With->LookedAt > Order.At)
+    scheduling::noteAnswerLost(Timing_, Needs_.Clock.now());
+  // One that was repeated says nothing of the worker by its silence.
   if (!Answer && !Latest)
     return;
   if (!Answer) {
