Tell entries and control VMs what has changed, not whole lists

Far entries also took an owner's stale rival for the owner and back again, 20 changes a second in 13 logs.

Change: lists of entries and owners have a number of changes; an answer carries what is newer than the asker has. Owners report owner, token and a rounded load. Control VMs share workers as changes since what each has taken. A rival that says it owns nothing is forgotten.

Tests: pings of an entry at 20 and 80 entries, an answer of control below 400 bytes at 80 entries, owners after half of the entries are lost, random losses.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -70,6 +70,12 @@
   void takeWorkers(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
   void takeOwners(const Json::Value &Result);
+  /// Forgets the lists of a leader before.
+  void followLists(const Json::Value &Result);
+  /// Whether the leader's list with the number of changes \p Change is the one
+  /// that is known here.
+  bool isCurrent(const Json::Value &Result, const char *Change,
+                 std::uint64_t Known) const;
   PoolMember &memberOf(const PoolName &Name, const DataCentreId &DataCentre);
   /// Ranks the candidates of each pool anew if the entries, the pools or the
   /// owners have changed.
@@ -187,6 +193,14 @@
   std::map<WorkerId, PoolName> WorkerPools_;
   /// Entries, and when the leader last named each.
   std::map<EntryPlace, Time> Entries_;
+  /// Of which leader's term the lists of entries and owners are, and how many
+  /// changes each covers.
+  std::uint64_t ListsOf_ = 0;
+  std::uint64_t EntriesChange_ = 0;
+  std::uint64_t OwnersChange_ = 0;
+  /// The leader's last list of entries, and when it was last taken.
+  std::vector<EntryPlace> ToldEntries_;
+  Time EntriesNamed_;
   /// The leader of the log schedules itself, transient jobs too.
   bool ControlSchedules_ = false;
 
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -23,6 +23,19 @@
 constexpr Duration SpreadFetchTimeout = std::chrono::milliseconds(700);
 /// An entry that no leader has named for so long is forgotten.
 constexpr Duration EntrySilence = std::chrono::seconds(60);
+/// How often a list of entries that has not changed counts as told again.
+constexpr Duration NamedAgainAfter = std::chrono::seconds(5);
+
+std::vector<EntryPlace> readEntries(const Json::Value &From) {
+  std::vector<EntryPlace> Result;
+  for (const Json::Value &Each : From) {
+    auto At = attempt([&] { return wire::readEndpoint(Each, "at"); });
+    auto Where = attempt([&] { return json::readString(Each, "data_centre"); });
+    if (At && Where)
+      Result.push_back({*At, DataCentreId(*Where)});
+  }
+  return Result;
+}
 
 } // namespace
 
@@ -33,15 +46,19 @@
   Params["configuration"] = Json::UInt64(RoutingFrom_.value());
   Params["workers_of"] = Json::UInt64(WorkersOf_);
   Params["workers_change"] = Json::UInt64(WorkersChange_);
+  Params["lists_of"] = Json::UInt64(ListsOf_);
+  Params["entries_change"] = Json::UInt64(EntriesChange_);
+  Params["owners_change"] = Json::UInt64(OwnersChange_);
   // Entries of other data centres hear of a pool's owner from control.
   for (const auto &[Name, In] : Pools_)
     if (Plan_ == PoolPlan::ByRack && In->scheduler())
-      Params["owned"][Name.value()] = In->writeClaim();
+      Params["owned"][Name.value()] = In->writeReport();
   return Params;
 }
 
 void EntryJobs::takeControl(const Json::Value &Result, const Endpoint &From) {
   takeDocument(Result);
+  followLists(Result);
   takeEntryList(Result);
   takePlan(Result);
   takeWorkers(Result);
@@ -171,17 +188,16 @@
 }
 
 void EntryJobs::takeEntryList(const Json::Value &Result) {
-  if (!Result["entries"].isArray())
-    return;
   Time Now = Needs_.Clock.now();
-  for (const Json::Value &Each : Result["entries"]) {
-    auto At = attempt([&] { return wire::readEndpoint(Each, "at"); });
-    auto Where = attempt([&] { return json::readString(Each, "data_centre"); });
-    if (!At || !Where)
-      continue;
-    bool New =
-        Entries_.insert_or_assign(EntryPlace{*At, DataCentreId(*Where)}, Now)
-            .second;
+  if (Result["entries"].isArray())
+    ToldEntries_ = readEntries(Result["entries"]);
+  else if (!isCurrent(Result, "entries_change", EntriesChange_) ||
+           Now - EntriesNamed_ < NamedAgainAfter)
+    return;
+  EntriesChange_ = wire::numberOf(Result, "entries_change");
+  EntriesNamed_ = Now;
+  for (const EntryPlace &Each : ToldEntries_) {
+    bool New = Entries_.insert_or_assign(Each, Now).second;
     RanksDue_ = RanksDue_ || New;
   }
   std::size_t Gone = std::erase_if(Entries_, [&](const auto &Entry) {
@@ -237,11 +253,36 @@
 
 void EntryJobs::takeOwners(const Json::Value &Result) {
   const Json::Value &Told = Result["owners"];
-  if (!Told.isObject())
+  if (Told.isObject())
+    for (const std::string &Name : Told.getMemberNames())
+      if (PoolMember *In = findPool(PoolName(Name)))
+        In->takeReport(Told[Name]);
+  if (!Result.isMember("owners_change"))
+    return;
+  // What is not told anew is as it was.
+  for (const auto &[Name, In] : Pools_)
+    if (!Told.isObject() || !Told.isMember(Name.value()))
+      In->confirmReport();
+  OwnersChange_ = wire::numberOf(Result, "owners_change");
+}
+
+void EntryJobs::followLists(const Json::Value &Result) {
+  std::uint64_t Of = wire::numberOf(Result, "lists_of");
+  if (Of == 0 || Of == ListsOf_)
     return;
-  for (const std::string &Name : Told.getMemberNames())
-    if (PoolMember *In = findPool(PoolName(Name)))
-      In->takeReport(Told[Name]);
+  // A new leader counts anew, and knows only what it was told itself.
+  ListsOf_ = Of;
+  EntriesChange_ = 0;
+  OwnersChange_ = 0;
+  for (const auto &[Name, In] : Pools_)
+    In->dropReport();
+}
+
+bool EntryJobs::isCurrent(const Json::Value &Result, const char *Change,
+                          std::uint64_t Known) const {
+  return Result.isMember(Change) &&
+         wire::numberOf(Result, "lists_of") == ListsOf_ &&
+         wire::numberOf(Result, Change) == Known;
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -8,13 +8,16 @@
 //   jobs.cancel  {host, path} -> answer
 //   jobs.pending {host, path} -> answer
 //   jobs.sync    {entry, data_centre, configuration, workers_of,
-//                 workers_change, owned?: {POOL: CLAIM}}
+//                 workers_change, lists_of, entries_change, owners_change,
+//                 owned?: {POOL: REPORT}}
 //     -> {leader, ready, members, schedules, configuration?, document?,
 //         large_document?, workers_of?, workers_change?, workers?, removed?,
-//         many_workers?, entries?: [{at, data_centre}], by_rack?,
-//         owners?: {POOL: CLAIM}}
+//         many_workers?, lists_of?, entries_change?,
+//         entries?: [{at, data_centre}], by_rack?, owners_change?,
+//         owners?: {POOL: REPORT, or null where the owner is silent}}
 //     from an entry: what has changed since what it has. Only the leader tells
-//     of workers, entries and owners. What is large is named only.
+//     of workers, entries and owners. What is large is named only. REPORT is
+//     owner, token, load
 //   jobs.document {} -> {configuration, document}; any control VM has it
 //   jobs.workers {workers_of, workers_change}
 //     -> {workers_of, workers_change, workers, removed?} or {leader}
@@ -31,7 +34,8 @@
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
-//   workers.share {workers, left} -> {}: from the leader to the others
+//   workers.share {workers_of, since, workers_change, workers?, removed?}
+//     -> {behind?}: from the leader to the others, what has changed since
 //   routing.put  {document} -> {}; routing.get {} -> {document}
 //     passed on to the leader
 //
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -141,6 +141,7 @@
              {{"term", Term_->value()}});
   Scheduler_.reset();
   Term_ = Term;
+  Shared_.clear();
   LeadsSince_ = Needs_.Clock.now();
   if (!Term)
     return;
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -53,6 +53,8 @@
   void follow();
   void tick();
   void shareWorkers();
+  /// Tells another control VM which workers have changed.
+  void shareWith(const Endpoint &Member);
   void takeShared(const Json::Value &Params, const Reply &Answer);
   Json::Value redirection() const;
   bool serves() const { return Term_ && Needs_.Log.holdsLease(); }
@@ -69,7 +71,11 @@
   void pending(const Json::Value &Params, const Reply &Answer);
   /// What has changed for the entry that asks.
   void tellEntry(const Json::Value &Params, Json::Value &Into);
+  void tellEntries(const Json::Value &Params, Json::Value &Into);
+  void noteOwner(const PoolName &Name, const Json::Value &Claim, Time Now);
   void tellOwners(const Json::Value &Params, Json::Value &Into);
+  /// Whether the entry that asks knows this leader's lists.
+  bool isOfThisTerm(const Json::Value &Params) const;
   /// With \p Any also a list that is too long to come with every answer.
   void tellWorkers(const Json::Value &Params, bool Any, Json::Value &Into);
   void tellDocument(bool Any, Json::Value &Into) const;
@@ -104,12 +110,23 @@
   std::unique_ptr<Scheduler> Scheduler_;
   /// Entries, and when each was last heard.
   std::map<EntryPlace, Time> Entries_;
-  /// What the owner of a pool said last, and when.
+  /// Counts the changes of this list, and of the next one.
+  std::uint64_t EntriesChange_ = 0;
+  std::uint64_t OwnersChange_ = 0;
+  /// What the owner of a pool said last, and when; null once it is silent.
   struct OwnerWord {
     Json::Value Claim;
     Time Heard;
+    std::uint64_t ChangedAt = 0;
   };
   std::map<PoolName, OwnerWord> Owners_;
+  /// Of a leader: how many changes of the workers each control VM was told.
+  std::map<Endpoint, std::uint64_t> Shared_;
+  /// Of the others: which leader's term told them of which workers, and how
+  /// many changes that covers.
+  std::uint64_t SharedOf_ = 0;
+  std::uint64_t SharedChange_ = 0;
+  std::set<WorkerId> SharedWorkers_;
   /// The division by racks is on its way into the log.
   bool Dividing_ = false;
   WorkerDirectory Directory_;
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -176,6 +176,15 @@
   return Result;
 }
 
+Json::Value PoolMember::writeReport() const {
+  Json::Value Result(Json::objectValue);
+  Result["owner"] = View_.Owner.At.text();
+  Result["token"] = Json::UInt64(View_.Owner.Token.value());
+  if (Scheduler_)
+    Result["load"] = write(rounded(Scheduler_->load()));
+  return Result;
+}
+
 OwnerClaim PoolMember::takeClaim(const Json::Value &From,
                                  const Endpoint &Speaker) {
   auto Highest = attempt([&] { return json::readUintOr(From, "highest", 0); });
@@ -204,7 +213,8 @@
 }
 
 void PoolMember::takeReport(const Json::Value &From) {
-  if (Candidate_)
+  Reported_ = From.isObject();
+  if (Candidate_ || !Reported_)
     return;
   // Where the owner that is believed in does not answer, control's word counts
   // whatever its token: jobs are safe at whoever takes them.
@@ -214,6 +224,13 @@
   takeLoad(From);
 }
 
+void PoolMember::confirmReport() {
+  if (Candidate_ || !Reported_)
+    return;
+  LoadTold_ = Needs_.Clock.now();
+  SentSince_ = scheduling::CoreTime();
+}
+
 void PoolMember::takeLoad(const Json::Value &From) {
   if (!From["load"].isObject())
     return;
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -58,6 +58,9 @@
   void workersChanged();
 
   Json::Value writeClaim() const;
+  /// What entries of other data centres need: owner, token and a load that is
+  /// rounded, so that it is told anew only when it has changed by much.
+  Json::Value writeReport() const;
   /// Takes and returns the claim that a message of \p Speaker carries.
   OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
   /// Takes all that a peer's own message says about the pool.
@@ -65,6 +68,9 @@
   /// Takes what control says of the pool's owner, where this entry does not
   /// hear it itself.
   void takeReport(const Json::Value &From);
+  /// Notes that the last report still holds, or that nobody vouches for it.
+  void confirmReport();
+  void dropReport() { Reported_ = false; }
 
   /// How long \p Wanted may wait here, what was sent since the owner's last
   /// word included. Nothing if the owner has not told.
@@ -101,6 +107,8 @@
   /// The owner's last word.
   PoolLoad Load_;
   std::optional<Time> LoadTold_;
+  /// Control has told of the owner, and not that it is silent.
+  bool Reported_ = false;
   /// The work that was sent since.
   scheduling::CoreTime SentSince_;
 };
--- a/src/jobs/internal/pools.cpp
+++ b/src/jobs/internal/pools.cpp
@@ -76,6 +76,17 @@
   return Wait;
 }
 
+PoolLoad rounded(const PoolLoad &Load) {
+  constexpr std::uint64_t StepsOfUse = 16;
+  constexpr Duration StepOfBacklog = std::chrono::milliseconds(20);
+  PoolLoad Result = Load;
+  std::uint64_t Step = std::max<std::uint64_t>(Load.Capacity / StepsOfUse, 1);
+  Result.Used = Load.Used / Step * Step;
+  for (Duration &Each : Result.Backlog)
+    Each = Each / StepOfBacklog * StepOfBacklog;
+  return Result;
+}
+
 Json::Value write(const PoolLoad &Value) {
   Json::Value Result(Json::objectValue);
   Result["capacity"] = Json::UInt64(Value.Capacity);
--- a/src/jobs/internal/pools.h
+++ b/src/jobs/internal/pools.h
@@ -68,6 +68,9 @@
 Duration expectedWait(const PoolLoad &Load, std::uint32_t Priority,
                       std::uint64_t Cores);
 
+/// The load in steps that matter for a choice between pools.
+PoolLoad rounded(const PoolLoad &Load);
+
 Json::Value write(const PoolLoad &Value);
 /// Fields that are missing are zero.
 PoolLoad readPoolLoad(const Json::Value &From);
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -197,6 +197,8 @@
 void noteOwnWord(PoolView &View, const Endpoint &Peer, const OwnerClaim &Word) {
   if (View.Owner.At == Peer && Word.Token < View.Owner.Token)
     View.Owner = OwnerClaim();
+  if (View.Rival.At == Peer && Word.At != Peer)
+    View.Rival = OwnerClaim();
 }
 
 void noteHighest(PoolView &View, FencingToken Token) {
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -1,8 +1,9 @@
 //===- servicesync.cpp - What a control VM tells entries ------------------===//
 //
 // The answer to the question that each entry asks again and again: the leader,
-// the configuration, the entries, the owners of pools and the workers. Control
-// VMs also tell each other which workers there are.
+// the configuration, the entries, the owners of pools and the workers, each as
+// what has changed since the entry was told last. Control VMs tell each other
+// in the same way which workers there are.
 //
 //===----------------------------------------------------------------------===//
 
@@ -55,34 +56,66 @@
   Time Now = Needs_.Clock.now();
   auto At = attempt([&] { return wire::readEndpoint(Params, "entry"); });
   auto Where = attempt([&] { return json::readString(Params, "data_centre"); });
-  if (At && Where)
-    Entries_[{*At, DataCentreId(*Where)}] = Now;
-  std::erase_if(Entries_, [&](const auto &Entry) {
+  bool New = At && Where &&
+             Entries_.insert_or_assign({*At, DataCentreId(*Where)}, Now).second;
+  std::size_t Gone = std::erase_if(Entries_, [&](const auto &Entry) {
     return Now - Entry.second >= EntrySilence;
   });
+  if (New || Gone != 0)
+    ++EntriesChange_;
   if (Now - LeadsSince_ >= EntriesDelay)
-    for (const auto &[Place, Heard] : Entries_) {
-      Json::Value Each(Json::objectValue);
-      Each["at"] = Place.At.text();
-      Each["data_centre"] = Place.DataCentre.value();
-      Into["entries"].append(std::move(Each));
-    }
+    tellEntries(Params, Into);
   Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
   tellOwners(Params, Into);
   tellWorkers(Params, false, Into);
 }
 
+bool JobService::isOfThisTerm(const Json::Value &Params) const {
+  return Term_ && wire::numberOf(Params, "lists_of") == Term_->value();
+}
+
+void JobService::tellEntries(const Json::Value &Params, Json::Value &Into) {
+  Into["lists_of"] = Json::UInt64(Term_->value());
+  Into["entries_change"] = Json::UInt64(EntriesChange_);
+  if (isOfThisTerm(Params) &&
+      wire::numberOf(Params, "entries_change") == EntriesChange_)
+    return;
+  for (const auto &[Place, Heard] : Entries_) {
+    Json::Value Each(Json::objectValue);
+    Each["at"] = Place.At.text();
+    Each["data_centre"] = Place.DataCentre.value();
+    Into["entries"].append(std::move(Each));
+  }
+}
+
+void JobService::noteOwner(const PoolName &Name, const Json::Value &Claim,
+                           Time Now) {
+  OwnerWord &Known = Owners_[Name];
+  Known.Heard = Now;
+  if (Known.ChangedAt != 0 && Known.Claim == Claim)
+    return;
+  Known.Claim = Claim;
+  Known.ChangedAt = ++OwnersChange_;
+}
+
 void JobService::tellOwners(const Json::Value &Params, Json::Value &Into) {
   Time Now = Needs_.Clock.now();
   const Json::Value &Owned = Params["owned"];
   if (Owned.isObject())
     for (const std::string &Name : Owned.getMemberNames())
-      Owners_[PoolName(Name)] = {Owned[Name], Now};
-  std::erase_if(Owners_, [&](const auto &Entry) {
-    return Now - Entry.second.Heard >= OwnerWordLasts;
-  });
-  for (const auto &[Name, Told] : Owners_)
-    Into["owners"][Name.value()] = Told.Claim;
+      noteOwner(PoolName(Name), Owned[Name], Now);
+  for (auto &[Name, Known] : Owners_)
+    if (!Known.Claim.isNull() && Now - Known.Heard >= OwnerWordLasts) {
+      Known.Claim = Json::Value();
+      Known.ChangedAt = ++OwnersChange_;
+    }
+  std::uint64_t Since =
+      isOfThisTerm(Params) ? wire::numberOf(Params, "owners_change") : 0;
+  Into["lists_of"] = Json::UInt64(Term_->value());
+  Into["owners_change"] = Json::UInt64(OwnersChange_);
+  for (const auto &[Name, Known] : Owners_)
+    if (Known.ChangedAt > Since)
+      Into["owners"][Name.value()] = Known.Claim;
 }
 
 void JobService::document(const Json::Value & /*Params*/, const Reply &Answer) {
@@ -149,30 +182,68 @@
 
 void JobService::shareWorkers() {
   if (Term_) {
-    Json::Value Params(Json::objectValue);
-    for (const auto &[Id, Known] : Directory_.Workers)
-      Params["workers"].append(write(Known.Info));
     auto Own = Needs_.Log.leaderAddress();
     for (const Endpoint &Member : Needs_.Log.memberAddresses())
       if (Member != Own)
-        Needs_.Client.call(Member, wire::method::Share, Params, ShareInterval,
-                           [](const Outcome<Json::Value> & /*Result*/) {
-                             // The next one comes in a second.
-                           });
+        shareWith(Member);
   }
   Needs_.Timers.after(ShareInterval, [this] { shareWorkers(); });
 }
 
+void JobService::shareWith(const Endpoint &Member) {
+  std::uint64_t Since = Shared_[Member];
+  DirectoryChanges News = changesSince(Directory_, Since);
+  Json::Value Params(Json::objectValue);
+  Params["workers_of"] = Json::UInt64(Term_->value());
+  Params["since"] = Json::UInt64(News.Whole ? 0 : Since);
+  Params["workers_change"] = Json::UInt64(Directory_.Changes);
+  for (const KnownWorker *Each : News.Changed)
+    Params["workers"].append(write(Each->Info));
+  for (const WorkerId &Each : News.Removed)
+    Params["removed"].append(Each.value());
+  Needs_.Client.call(Member, wire::method::Share, std::move(Params),
+                     ShareInterval,
+                     [this, Member, Term = Term_, Upto = Directory_.Changes](
+                         const Outcome<Json::Value> &Result) {
+                       if (Term_ != Term)
+                         return;
+                       // One that did not take it is told all workers the next
+                       // time.
+                       bool Taken = Result && !wire::isSet(*Result, "behind");
+                       Shared_[Member] = Taken ? Upto : 0;
+                     });
+}
+
 void JobService::takeShared(const Json::Value &Params, const Reply &Answer) {
   auto Workers = attempt([&] { return json::readArray(Params, "workers"); });
   if (!Workers)
     return Answer(Workers.error());
+  std::uint64_t Of = wire::numberOf(Params, "workers_of");
+  std::uint64_t Since = wire::numberOf(Params, "since");
+  Json::Value Result(Json::objectValue);
+  if (Since != 0 && (Of != SharedOf_ || Since != SharedChange_)) {
+    Result["behind"] = true;
+    return Answer(std::move(Result));
+  }
+  if (Since == 0)
+    SharedWorkers_.clear();
+  SharedOf_ = Of;
+  SharedChange_ = wire::numberOf(Params, "workers_change");
+  Time Now = Needs_.Clock.now();
   for (const Json::Value &Each : *Workers) {
     auto Info = attempt([&] { return readWorker(Each); });
-    if (Info)
-      announce(Directory_, *Info, Needs_.Clock.now());
+    if (!Info)
+      continue;
+    announce(Directory_, *Info, Now);
+    SharedWorkers_.insert(Info->Worker);
   }
-  Answer(Json::Value(Json::objectValue));
+  for (const Json::Value &Each : Params["removed"])
+    if (Each.isString()) {
+      removeWorker(Directory_, WorkerId(Each.asString()));
+      SharedWorkers_.erase(WorkerId(Each.asString()));
+    }
+  confirmWorkers(Directory_, SharedWorkers_, Now);
+  Answer(std::move(Result));
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/workerdirectory.cpp
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -44,6 +44,15 @@
   Directory.Left.insert(Worker);
 }
 
+void confirmWorkers(WorkerDirectory &Directory,
+                    const std::set<WorkerId> &Workers, Time Now) {
+  for (const WorkerId &Id : Workers) {
+    auto Found = Directory.Workers.find(Id);
+    if (Found != Directory.Workers.end())
+      Found->second.Heard = Now;
+  }
+}
+
 void dropSilent(WorkerDirectory &Directory, Time Now) {
   std::vector<WorkerId> Silent;
   for (const auto &[Id, Known] : Directory.Workers)
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -56,6 +56,7 @@
 void FakePeerNet::call(const Endpoint &From, const Endpoint &To,
                        const std::string &Method, const Json::Value &Params,
                        Duration Timeout, IRpcClient::Callback Done) {
+  ++Sent[Method];
   auto Open = std::make_shared<IRpcClient::Callback>(std::move(Done));
   auto Finish = [Open](const Outcome<Json::Value> &Result) {
     if (*Open)
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -29,6 +29,8 @@
   /// How fast the processes of a host write their answers, one after the other;
   /// at once if it is not named.
   std::map<std::string, double> BytesPerMilli;
+  /// Calls so far, by method.
+  std::map<std::string, std::uint64_t> Sent;
   /// A cut refuses connections in the name of the other side.
   bool CutsRefuse = false;
 
--- /dev/null
+++ b/src/jobs/tests/largegrouptest.cpp
@@ -0,0 +1,114 @@
+//===- largegrouptest.cpp - Entries of a large deployment -----------------===//
+//
+// What an entry sends and is told while nothing happens does not grow with the
+// number of entries, and pools find owners again when many entries are lost.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/jobmessages.h"
+#include "jobs/tests/controlfake.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace geraniumbay::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Messages that an entry sends in a second while no job comes.
+double messagesEach(int EntriesEach, const char *Method) {
+  EntryFake Fake(EntriesEach, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(6s);
+  Fake.Net.Sent.clear();
+  constexpr int Seconds = 4;
+  Fake.run(std::chrono::seconds(Seconds));
+  return static_cast<double>(Fake.Net.Sent[Method]) /
+         static_cast<double>(2 * EntriesEach * Seconds);
+}
+
+TEST(LargeGroupTest, PingsOfAnEntryDoNotGrowWithTheGroup) {
+  double Few = messagesEach(10, wire::method::Ping);
+  double Many = messagesEach(40, wire::method::Ping);
+  EXPECT_LE(Many, Few * 1.1);
+}
+
+// Each entry is told once of all others, and then of changes only.
+TEST(LargeGroupTest, AnAnswerOfControlDoesNotGrowWithTheGroup) {
+  EntryFake Fake(40, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(6s);
+  std::size_t Bytes = 0;
+  Json::Value Params(Json::objectValue);
+  const Endpoint Asker{"10.0.1.99", 7000};
+  Params["entry"] = Asker.text();
+  Params["data_centre"] = "a";
+  auto Ask = [&] {
+    Fake.Net.call(Asker, Fake.controlAddress(), wire::method::Sync, Params, 1s,
+                  [&](const Outcome<Json::Value> &Result) {
+                    ASSERT_TRUE(Result);
+                    Bytes = json::write(*Result).size();
+                    for (const char *Known :
+                         {"lists_of", "entries_change", "owners_change",
+                          "workers_of", "workers_change", "configuration"})
+                      if (Result->isMember(Known))
+                        Params[Known] = (*Result)[Known];
+                  });
+    Fake.run(10ms);
+  };
+  Ask();
+  std::size_t First = Bytes;
+  Ask();
+  Ask();
+  EXPECT_GT(First, 1000U);
+  EXPECT_LT(Bytes, 400U);
+}
+
+TEST(LargeGroupTest, EachPoolHasOneOwnerAfterHalfOfTheEntriesAreLost) {
+  EntryFake Fake(20, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(6s);
+  ASSERT_EQ(Fake.owners().size(), 4U);
+  for (std::size_t I = 0; I < Fake.Entries.size(); I += 2)
+    Fake.crash(I);
+  Fake.run(1500ms);
+  EXPECT_EQ(Fake.owners().size(), 4U);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 1; I < Fake.Entries.size(); I += 2)
+    Jobs.push_back(Fake.submit(I, "job" + std::to_string(I), 1));
+  Fake.run(1s);
+  EXPECT_TRUE(std::all_of(Jobs.begin(), Jobs.end(), served));
+  EXPECT_TRUE(Fake.Workers.Doubled.empty());
+}
+
+// Entries are lost and come back in series while jobs go on: nothing runs twice
+// at a time, and each pool ends with one owner.
+RC_GTEST_PROP(LargeGroupProperties, NoTaskRunsTwiceAtATime,
+              (std::uint64_t Seed)) {
+  Random Rng(Seed);
+  EntryFake Fake(10, 52, Rng.bits());
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  std::set<std::size_t> Lost;
+  int Job = 0;
+  for (int Step = 0; Step < 25; ++Step) {
+    std::size_t Which = Rng.below(Fake.Entries.size());
+    if (Lost.erase(Which) != 0)
+      Fake.start(Which);
+    else if (Lost.size() < 12 && Lost.insert(Which).second)
+      Fake.crash(Which);
+    for (std::size_t I = 0; I < Fake.Entries.size(); I += 3)
+      if (Lost.count(I) == 0)
+        Fake.submit(I, "job" + std::to_string(Job++), 2);
+    Fake.run(Duration(Rng.below(300'000)));
+  }
+  for (std::size_t Which : Lost)
+    Fake.start(Which);
+  Fake.run(4s);
+  RC_ASSERT(Fake.Workers.Doubled.empty());
+  RC_ASSERT(Fake.owners().size() == 4U);
+}
+
+} // namespace
+} // namespace geraniumbay::jobs
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -88,6 +88,9 @@
 void removeWorker(WorkerDirectory &Directory, const WorkerId &Worker);
 /// Notes that the incarnation has ended.
 void leave(WorkerDirectory &Directory, const WorkerId &Worker);
+/// Notes that the leader still knows these workers.
+void confirmWorkers(WorkerDirectory &Directory,
+                    const std::set<WorkerId> &Workers, Time Now);
 /// Drops the workers that are silent.
 void dropSilent(WorkerDirectory &Directory, Time Now);
 
