Let entries behind the front ranks hear of owners from control

Cause: each of 147 entries asked each of the 18 owners of its data centre twice a second, 5,300 pings a second, growing with entries times pools.

Change: they take control's reports, which they get anyway, and ask an owner itself only where control has been silent for a second, as in a cut.

--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -19,6 +19,8 @@
 
 /// What an owner said of its load is worth nothing after this time.
 constexpr Duration LoadLasts = std::chrono::seconds(2);
+/// What the owner itself said goes before what control says of it for so long.
+constexpr Duration LoadIsFresh = std::chrono::milliseconds(500);
 
 /// A candidate takes over what was let go for it within two pings; else this
 /// entry may claim it again.
@@ -208,29 +210,49 @@
   noteSettled(View_, Speaker, wire::isSet(From, "settled"));
   noteLetsGo(View_, Speaker, wire::isSet(From, "lets_go"), Needs_.Clock.now());
   meetOwner(From, Word, Speaker);
-  if (Speaker == View_.Owner.At)
-    takeLoad(From);
+  if (Speaker != View_.Owner.At)
+    return;
+  takeLoad(From);
+  LoadHeard_ = Needs_.Clock.now();
+}
+
+bool PoolMember::needsReports() const {
+  return !Candidate_ || !watchesClosely(View_);
 }
 
 void PoolMember::takeReport(const Json::Value &From) {
-  Reported_ = From.isObject();
-  if (Candidate_ || !Reported_)
+  auto Claim = attempt([&] { return readClaim(From, "owner", "token"); });
+  ReportedOwner_.reset();
+  if (!From.isObject() || !Claim || Claim->Token == FencingToken(0))
+    return;
+  ReportedOwner_ = Claim->At;
+  if (!needsReports())
     return;
   // Where the owner that is believed in does not answer, control's word counts
   // whatever its token: jobs are safe at whoever takes them.
-  if (!isOwned())
+  if (!Candidate_ && !isOwned())
     View_.LastClaim = FencingToken(0);
   takeClaim(From, Endpoint());
-  takeLoad(From);
+  confirmReport();
+  if (View_.Owner.At == Claim->At && !hearsLoad())
+    takeLoad(From);
 }
 
 void PoolMember::confirmReport() {
-  if (Candidate_ || !Reported_)
+  if (!ReportedOwner_ || !needsReports() || View_.Owner.At != *ReportedOwner_)
     return;
-  LoadTold_ = Needs_.Clock.now();
+  Time Now = Needs_.Clock.now();
+  noteReport(View_, *ReportedOwner_, Now);
+  if (hearsLoad() || !LoadTold_)
+    return;
+  LoadTold_ = Now;
   SentSince_ = scheduling::CoreTime();
 }
 
+bool PoolMember::hearsLoad() const {
+  return LoadHeard_ && Needs_.Clock.now() - *LoadHeard_ < LoadIsFresh;
+}
+
 void PoolMember::takeLoad(const Json::Value &From) {
   if (!From["load"].isObject())
     return;
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -66,11 +66,11 @@
   /// Takes all that a peer's own message says about the pool.
   void takeWord(const Json::Value &From, const Endpoint &Speaker);
   /// Takes what control says of the pool's owner, where this entry does not
-  /// hear it itself.
+  /// watch it itself.
   void takeReport(const Json::Value &From);
   /// Notes that the last report still holds, or that nobody vouches for it.
   void confirmReport();
-  void dropReport() { Reported_ = false; }
+  void dropReport() { ReportedOwner_.reset(); }
 
   /// How long \p Wanted may wait here, what was sent since the owner's last
   /// word included. Nothing if the owner has not told.
@@ -87,6 +87,10 @@
   void endLettingGo();
   void meetOwner(const Json::Value &From, const OwnerClaim &Word,
                  const Endpoint &Speaker);
+  /// Whether control's word about the owner is of use here.
+  bool needsReports() const;
+  /// Whether the owner itself has told its load lately.
+  bool hearsLoad() const;
   void takeLoad(const Json::Value &From);
   void startScheduler();
 
@@ -107,8 +111,10 @@
   /// The owner's last word.
   PoolLoad Load_;
   std::optional<Time> LoadTold_;
-  /// Control has told of the owner, and not that it is silent.
-  bool Reported_ = false;
+  /// The owner that control has told of, until it is silent there.
+  std::optional<Endpoint> ReportedOwner_;
+  /// When the load was last heard from the owner itself.
+  std::optional<Time> LoadHeard_;
   /// The work that was sent since.
   scheduling::CoreTime SentSince_;
 };
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -43,10 +43,6 @@
   return false;
 }
 
-bool watchesClosely(const PoolView &View) {
-  return isSmallGroup(View) || isInFront(View);
-}
-
 bool letsGo(const PoolView &View, const Endpoint &Entry, Time Now) {
   auto Found = View.Words.find(Entry);
   return Found != View.Words.end() && Found->second.LetsGoAt &&
@@ -121,6 +117,7 @@
   View.LastClaim = std::max(View.LastClaim, Claim.Token);
   View.Rival = OwnerClaim();
   View.OwnerSince = Now;
+  View.ReportedAt.reset();
   View.Words.erase(Claim.At);
 }
 
@@ -275,6 +272,15 @@
   return isAliveWithin(View, Entry, DeadAfter, Now);
 }
 
+bool watchesClosely(const PoolView &View) {
+  return isSmallGroup(View) || isInFront(View);
+}
+
+void noteReport(PoolView &View, const Endpoint &Owner, Time Now) {
+  if (View.Owner.Token != FencingToken(0) && View.Owner.At == Owner)
+    View.ReportedAt = Now;
+}
+
 bool wasAliveLately(const PoolView &View, const Endpoint &Entry, Time Now) {
   return isAliveWithin(
       View, Entry, isSmallGroup(View) ? DeadAfter : DeadAfter + FollowInterval,
@@ -284,8 +290,15 @@
 bool isOwnerAlive(const PoolView &View, Time Now) {
   if (View.Owner.Token == FencingToken(0))
     return false;
-  return watchesClosely(View) ? isAlive(View, View.Owner.At, Now)
-                              : wasAliveLately(View, View.Owner.At, Now);
+  if (watchesClosely(View))
+    return isAlive(View, View.Owner.At, Now);
+  // One that control vouches for is asked before the report is of no use.
+  constexpr Duration Horizon = ReportLasts + FollowInterval + DeadAfter;
+  const PeerHealth *Health = peerOf(View, View.Owner.At);
+  bool Gone = (Health && (Health->Refused || Health->Stopping)) ||
+              letsGo(View, View.Owner.At, Now);
+  bool Reported = View.ReportedAt && Now - *View.ReportedAt < Horizon;
+  return (Reported && !Gone) || wasAliveLately(View, View.Owner.At, Now);
 }
 
 bool ownsPool(const PoolView &View) {
@@ -337,6 +350,8 @@
     return {};
   if (ownsPool(View))
     return frontRanks(View, Now);
+  if (View.ReportedAt && Now - *View.ReportedAt < ReportLasts)
+    return {};
   return {View.Owner.At};
 }
 
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -12,9 +12,10 @@
 // Entries are ranked. An owner stays the owner as long as it is alive; then the
 // first entry that is alive takes over with a higher token. In a small group
 // all entries watch the owner and the front of the ranks closely. In a large
-// one only the front of the ranks does; the others ask the owner now and then,
-// and closely only while it has jobs of theirs, so that what an owner is asked
-// does not grow with the group. Where two owners
+// one only the front of the ranks does; the others hear of the owner from
+// control, ask it now and then if control is silent, and closely only while it
+// has jobs of theirs, so that what an owner is asked does not grow with the
+// group. Where two owners
 // hear of each other, as when a cut has healed, the one with fewer workers lets
 // go; entries follow their owner's word meanwhile.
 //
@@ -70,6 +71,8 @@
 /// How often an owner is asked by those of a large group that do not watch it
 /// closely, and how often it asks the front of the ranks.
 constexpr Duration FollowInterval = std::chrono::milliseconds(500);
+/// What control says of an owner counts for so long; then it is asked itself.
+constexpr Duration ReportLasts = std::chrono::seconds(1);
 /// An owner that has said that it lets go is no candidate for so long, the time
 /// in which another takes the pool.
 constexpr Duration LetGoLasts = std::chrono::milliseconds(1200);
@@ -120,6 +123,8 @@
   /// When it was first heard of as the owner. Until it has had the time to
   /// answer it counts as alive.
   Time OwnerSince;
+  /// When control last vouched for it.
+  std::optional<Time> ReportedAt;
   /// Since when no owner is alive. Those behind the front of the ranks ask the
   /// ones before them from then on.
   std::optional<Time> OwnerLostAt;
@@ -185,6 +190,10 @@
 OwnerLoss earlierOwnerLoss(const PoolView &View, Time Now);
 
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
+/// Notes that control vouches for \p Owner.
+void noteReport(PoolView &View, const Endpoint &Owner, Time Now);
+/// Whether this entry asks the owner itself in each round.
+bool watchesClosely(const PoolView &View);
 /// Whether it has answered as lately as one that is asked each FollowInterval.
 bool wasAliveLately(const PoolView &View, const Endpoint &Entry, Time Now);
 /// Whether there is an owner that is alive, as far as this entry watches it.
