--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -119,7 +119,7 @@
   PoolMember *findPool(const PoolName &Name) const;
   PoolMember *poolOfMessage(const Json::Value &Params) const;
 
-  // An owner's work for other entries (poolowner.cpp).
+  // An owner's work for other entries (ownercalls.cpp).
   void answerDrop(const Json::Value &Params, const Reply &Answer);
   void answerRun(const Json::Value &Params, const Reply &Answer);
 
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -1,6 +1,6 @@
 //===- poolview.cpp - Who owns the pool of workers ------------------------===//
 //
-// Ranks, health and claims.
+// Ranks, health and claims. Who asks whom is in poolwatch.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -27,10 +27,6 @@
   return findPeer(*View.Peers, Entry);
 }
 
-bool isSmallGroup(const PoolView &View) {
-  return View.Ranked.size() <= SmallGroup;
-}
-
 /// Whether this entry is among those in front of the ranks, the owner aside.
 bool isInFront(const PoolView &View) {
   std::size_t Before = 0;
@@ -272,6 +268,10 @@
   return isAliveWithin(View, Entry, DeadAfter, Now);
 }
 
+bool isSmallGroup(const PoolView &View) {
+  return View.Ranked.size() <= SmallGroup;
+}
+
 bool watchesClosely(const PoolView &View) {
   return isSmallGroup(View) || isInFront(View);
 }
@@ -306,55 +306,6 @@
          !View.Stopping;
 }
 
-namespace {
-
-/// The front of the ranks, up to as many that are alive as may have to take
-/// over.
-std::vector<Endpoint> frontRanks(const PoolView &View, Time Now) {
-  std::vector<Endpoint> Targets;
-  std::size_t Alive = 0;
-  for (const Endpoint &Entry : View.Ranked) {
-    if (Entry == View.Self || Alive >= PingedRanks)
-      continue;
-    Targets.push_back(Entry);
-    if (wasAliveLately(View, Entry, Now))
-      ++Alive;
-  }
-  return Targets;
-}
-
-void addTarget(std::vector<Endpoint> &Targets, const Endpoint &Entry) {
-  if (std::find(Targets.begin(), Targets.end(), Entry) == Targets.end())
-    Targets.push_back(Entry);
-}
-
-} // namespace
-
-std::vector<Endpoint> pingTargets(const PoolView &View, Time Now) {
-  std::vector<Endpoint> Targets;
-  if (isSmallGroup(View) || !isOwnerAlive(View, Now))
-    Targets = frontRanks(View, Now);
-  if (ownsPool(View)) {
-    if (View.Rival.Token != FencingToken(0))
-      addTarget(Targets, View.Rival.At);
-  } else if (View.Owner.Token != FencingToken(0) &&
-             View.Owner.At != View.Self &&
-             (watchesClosely(View) || !isOwnerAlive(View, Now))) {
-    addTarget(Targets, View.Owner.At);
-  }
-  return Targets;
-}
-
-std::vector<Endpoint> followTargets(const PoolView &View, Time Now) {
-  if (isSmallGroup(View) || !isOwnerAlive(View, Now))
-    return {};
-  if (ownsPool(View))
-    return frontRanks(View, Now);
-  if (View.ReportedAt && Now - *View.ReportedAt < ReportLasts)
-    return {};
-  return {View.Owner.At};
-}
-
 std::optional<OwnerClaim> claimIfDue(PoolView &View, Time Now,
                                      WallMillis Wall) {
   if (isOwnerAlive(View, Now)) {
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -192,6 +192,8 @@
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
 /// Notes that control vouches for \p Owner.
 void noteReport(PoolView &View, const Endpoint &Owner, Time Now);
+/// Whether the candidates are so few that all watch each other.
+bool isSmallGroup(const PoolView &View);
 /// Whether this entry asks the owner itself in each round.
 bool watchesClosely(const PoolView &View);
 /// Whether it has answered as lately as one that is asked each FollowInterval.
--- /dev/null
+++ b/src/jobs/internal/poolwatch.cpp
@@ -0,0 +1,63 @@
+//===- poolwatch.cpp - Who asks whom about a pool -------------------------===//
+//
+// What each entry pings, so that a lost owner is noticed and two owners hear of
+// each other, while the pings of an entry do not grow with a large group.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/poolview.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+/// The front of the ranks, up to as many that are alive as may have to take
+/// over.
+std::vector<Endpoint> frontRanks(const PoolView &View, Time Now) {
+  std::vector<Endpoint> Targets;
+  std::size_t Alive = 0;
+  for (const Endpoint &Entry : View.Ranked) {
+    if (Entry == View.Self || Alive >= PingedRanks)
+      continue;
+    Targets.push_back(Entry);
+    if (wasAliveLately(View, Entry, Now))
+      ++Alive;
+  }
+  return Targets;
+}
+
+void addTarget(std::vector<Endpoint> &Targets, const Endpoint &Entry) {
+  if (std::find(Targets.begin(), Targets.end(), Entry) == Targets.end())
+    Targets.push_back(Entry);
+}
+
+} // namespace
+
+std::vector<Endpoint> pingTargets(const PoolView &View, Time Now) {
+  std::vector<Endpoint> Targets;
+  if (isSmallGroup(View) || !isOwnerAlive(View, Now))
+    Targets = frontRanks(View, Now);
+  if (ownsPool(View)) {
+    if (View.Rival.Token != FencingToken(0))
+      addTarget(Targets, View.Rival.At);
+  } else if (View.Owner.Token != FencingToken(0) &&
+             View.Owner.At != View.Self &&
+             (watchesClosely(View) || !isOwnerAlive(View, Now))) {
+    addTarget(Targets, View.Owner.At);
+  }
+  return Targets;
+}
+
+std::vector<Endpoint> followTargets(const PoolView &View, Time Now) {
+  if (isSmallGroup(View) || !isOwnerAlive(View, Now))
+    return {};
+  if (ownsPool(View))
+    return frontRanks(View, Now);
+  if (View.ReportedAt && Now - *View.ReportedAt < ReportLasts)
+    return {};
+  return {View.Owner.At};
+}
+
+} // namespace geraniumbay::jobs
