--- a/src/framework/json/json.cpp
+++ b/src/framework/json/json.cpp
@@ -19,25 +19,29 @@
 /// Deeper documents than this are refused; jsoncpp recurses on depth.
 constexpr int MaxDepth = 64;
 
-/// Kept, since to make a reader takes longer than to read a usual message.
-Json::CharReader &reader() {
-  thread_local const std::unique_ptr<Json::CharReader> Kept = [] {
-    Json::CharReaderBuilder Builder;
-    Json::CharReaderBuilder::strictMode(&Builder.settings_);
-    Builder["stackLimit"] = MaxDepth;
-    return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
-  }();
-  return *Kept;
-}
-
-/// Kept as well.
-Json::StreamWriter &writer() {
-  thread_local const std::unique_ptr<Json::StreamWriter> Kept = [] {
-    Json::StreamWriterBuilder Builder;
-    Builder["indentation"] = "";
-    return std::unique_ptr<Json::StreamWriter>(Builder.newStreamWriter());
-  }();
-  return *Kept;
+std::unique_ptr<Json::CharReader> makeReader() {
+  Json::CharReaderBuilder Builder;
+  Json::CharReaderBuilder::strictMode(&Builder.settings_);
+  Builder["stackLimit"] = MaxDepth;
+  return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
+}
+
+std::unique_ptr<Json::StreamWriter> makeWriter() {
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  return std::unique_ptr<Json::StreamWriter>(Builder.newStreamWriter());
+}
+
+/// Made once, since to make them takes longer than to read or write a usual
+/// message.
+struct Codec {
+  std::unique_ptr<Json::CharReader> Reader = makeReader();
+  std::unique_ptr<Json::StreamWriter> Writer = makeWriter();
+};
+
+Codec &codec() {
+  thread_local Codec Kept;
+  return Kept;
 }
 
 bool hasField(const Json::Value &Object, const char *Name) {
@@ -60,8 +64,8 @@
   Json::Value Value;
   std::string Errors;
   try {
-    if (!reader().parse(Text.data(), Text.data() + Text.size(), &Value,
-                        &Errors))
+    if (!codec().Reader->parse(Text.data(), Text.data() + Text.size(), &Value,
+                               &Errors))
       return fail(ErrorCode::InvalidArgument, "not valid JSON");
   } catch (const std::exception &) {
     // jsoncpp reports depth and number range by exception.
@@ -72,7 +76,7 @@
 
 std::string write(const Json::Value &Value) {
   std::ostringstream Text;
-  writer().write(Value, &Text);
+  codec().Writer->write(Value, &Text);
   return std::move(Text).str();
 }
 
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -236,7 +236,7 @@
   /// Counts the losses against their tasks, which may start again if they are
   /// not given up.
   void blame(std::vector<TaskLoss> Losses);
-  void blameDurably(std::vector<TaskLoss> Losses);
+  void blameDurably(const std::vector<TaskLoss> &Losses);
   void lossesNoted(const std::vector<TaskLoss> &Losses);
   /// The owner before may have lost a worker under each task of the job that
   /// does not run, and have been lost itself before it knew.
--- a/src/jobs/internal/workerlosses.cpp
+++ b/src/jobs/internal/workerlosses.cpp
@@ -73,10 +73,10 @@
   apply(Transient_, Changes);
   lossesNoted(Changes.Lost);
   if (!Durable.empty())
-    blameDurably(std::move(Durable));
+    blameDurably(Durable);
 }
 
-void Scheduler::blameDurably(std::vector<TaskLoss> Losses) {
+void Scheduler::blameDurably(const std::vector<TaskLoss> &Losses) {
   // They must not start before the log holds what speaks against them.
   for (const TaskLoss &Each : Losses)
     Ending_.insert(Each.Task);
