Blame no task for a worker lost after its job was cancelled

A job that was given up at one owner had runs on workers that were cut off; when these were lost its tasks had no record any more, and a missing record was taken for a task that had been given up as guilty. The job was sent again and answered as failed.

Ruled out: two crashes of workers; the log shows losses by refused connections only.

Change: a task counts as guilty only where its job has failed; else the loss is added to what is remembered.

Test first: ALostWorkerOfACancelledJobMakesNobodyGuilty failed with the old line.

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -241,7 +241,7 @@
   /// The owner before may have lost a worker under each task of the job that
   /// does not run, and have been lost itself before it knew.
   void blameForOwner(const JobId &Id);
-  void rememberSuspects(const JobId &Id, const TaskId &Task);
+  void rememberSuspects(const TaskLoss &Loss);
   /// What was seen of the job's tasks before, here and at other schedulers.
   std::vector<SuspectTask> knownSuspects(const Job &New) const;
   bool isSuspected(const TaskId &Id) const;
--- a/src/jobs/internal/workerlosses.cpp
+++ b/src/jobs/internal/workerlosses.cpp
@@ -111,7 +111,7 @@
               {"alone", Each.Alone},
               {"suspected", !Record || Record->Seen.Suspected},
               {"given_up", Of->State == JobState::Failed}});
-    rememberSuspects(Id, Each.Task);
+    rememberSuspects(Each);
     if (Of->State == JobState::Active) {
       enqueue(Each.Task);
       continue;
@@ -138,19 +138,23 @@
     }
   apply(Transient_, Changes);
   for (const TaskLoss &Each : Changes.Lost)
-    rememberSuspects(Id, Each.Task);
+    rememberSuspects(Each);
 }
 
-void Scheduler::rememberSuspects(const JobId &Id, const TaskId &Task) {
-  if (!isTransient(Id))
+void Scheduler::rememberSuspects(const TaskLoss &Loss) {
+  const TaskId &Task = Loss.Task;
+  const Job *Of = findJob(Transient_, Task.Job);
+  if (!Of)
     return;
-  RememberedSuspects &Kept = Suspects_[Id];
+  RememberedSuspects &Kept = Suspects_[Task.Job];
   Kept.Since = Needs_.Clock.now();
   scheduling::Suspicion &Row = rowOf(Kept.Tasks, Task.Step, Task.Index).Seen;
   if (const TaskRecord *Record = taskOf(Task))
     scheduling::merge(Row, Record->Seen);
-  else
+  else if (Of->State == JobState::Failed)
     Row.Guilty = true;
+  else
+    scheduling::noteLoss(Row, Loss.How, Loss.Alone);
 }
 
 std::vector<SuspectTask> Scheduler::knownSuspects(const Job &New) const {
--- a/src/jobs/tests/crashestest.cpp
+++ b/src/jobs/tests/crashestest.cpp
@@ -61,6 +61,25 @@
   EXPECT_LE(Play.mostStarts(), 3U);
 }
 
+// A job is cancelled, and its worker is lost before the run has been stopped:
+// nothing speaks against the task when the job is sent again.
+TEST(CrashesTest, ALostWorkerOfACancelledJobMakesNobodyGuilty) {
+  CrashPlay Play(1, 2);
+  Play.Fake.Workers.TaskTime = 800ms;
+  auto First = Play.Fake.submit(Play.Fake.owners().at(0), "job", 1);
+  Play.Fake.run(100ms);
+  const Endpoint Owner = Play.Fake.Entries[Play.Fake.owners().at(0)].At;
+  for (const WorkerInfo &Each : Play.Fake.announced())
+    Play.Fake.Faults.Cut.insert({Owner.Address, Each.At.Address});
+  First->Abandon();
+  Play.Fake.run(2500ms);
+  Play.Fake.join();
+  Play.Fake.run(2s);
+  auto Again = Play.Fake.submit(Play.Fake.owners().at(0), "job", 1);
+  Play.Fake.run(2500ms);
+  EXPECT_TRUE(served(Again));
+}
+
 // The caller gives up and sends the job again, here and elsewhere.
 TEST(CrashesTest, SendingAgainDoesNotStartTheCountAnew) {
   CrashPlay Play(2, 6);
