Evacuate a data centre by an operator's order that is recorded and obeyed

Cause: POST and DELETE of an evacuation were answered 404; no part of the system knew that a data centre can be emptied. Ruled out: an order in the routing document (operators' documents would undo it), an order kept by the leader alone (lost with it). Change: orders are recorded in the replicated state with the number of the data centre's last order, so that one that was held up does not undo a later one; entries learn of them with the answer that brings them workers; owners start nothing there and send waiting jobs back to their entries, which try other data centres; a job that has begun is stopped first and is never called not run. Control VMs list what is obeyed. Left: command line, process test, soak, cold workers.

--- a/src/jobs/ijobcontrol.h
+++ b/src/jobs/ijobcontrol.h
@@ -30,6 +30,12 @@
   /// The newest document, or NotFound; Unavailable if that is not certain.
   virtual void getRouting(std::function<void(Outcome<std::string>)> Done) = 0;
 
+  /// Evacuates \p DataCentre, or ends its evacuation: acknowledged once it is
+  /// in the log of a majority. Given again it is acknowledged again. NotFound:
+  /// nobody knows the data centre. Unavailable: it has certainly had no effect.
+  virtual void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
+                               Acknowledge Done) = 0;
+
   /// Where the leader is reached by its peers, if it is known.
   virtual std::optional<Endpoint> leader() const = 0;
 
--- a/src/jobs/ijobgateway.h
+++ b/src/jobs/ijobgateway.h
@@ -40,6 +40,11 @@
   std::uint64_t Pending = 0;
   Duration RetryAfter{0};
   std::string Reason;
+  /// Of one that was not taken by a pool's owner, for the entry that asked: the
+  /// pool's data centre is evacuated; and tasks of the job have run there,
+  /// which have all ended.
+  bool Evacuated = false;
+  bool HasRun = false;
 };
 
 /// An answer that says no more than what came of the request, and why.
--- a/src/jobs/internal/batcher.cpp
+++ b/src/jobs/internal/batcher.cpp
@@ -40,6 +40,7 @@
   moveInto(Next_.Lost, std::move(Changes.Lost));
   moveInto(Next_.Cancelled, std::move(Changes.Cancelled));
   moveInto(Next_.Forgotten, std::move(Changes.Forgotten));
+  moveInto(Next_.Evacuations, std::move(Changes.Evacuations));
   Waiting_.push_back(std::move(Committed));
   if (Due_)
     return;
--- a/src/jobs/internal/entryanswers.cpp
+++ b/src/jobs/internal/entryanswers.cpp
@@ -99,7 +99,8 @@
   const AskPtr &What = Kept.value();
   ++What->Attempt;
   // "Not run" must be true of every owner that had the job.
-  bool Doubtful = Answer.Outcome == JobOutcome::NotTaken && What->MaybeTaken;
+  bool Doubtful = Answer.Outcome == JobOutcome::NotTaken &&
+                  (What->MaybeTaken || What->HasRun);
   JobAnswer Told =
       Doubtful ? outcome(JobOutcome::Unknown, Answer.Reason) : Answer;
   if (Told.Outcome == JobOutcome::NotTaken && What->Registered)
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -52,6 +52,8 @@
   bool AtHome = false;
   /// Pools whose owners have refused it.
   std::set<PoolName> RefusedBy;
+  /// How many of them had no room in time.
+  std::size_t Refusals = 0;
   /// The last refusal; it stands where no other pool is known.
   JobAnswer Refusal;
   /// Counts the sendings; the answers to earlier ones are late.
@@ -60,6 +62,8 @@
   std::optional<OwnerClaim> SentTo;
   /// An owner may have started tasks of it.
   bool MaybeTaken = false;
+  /// Tasks of it have run in a data centre that is evacuated, and have ended.
+  bool HasRun = false;
   /// Which one, last.
   Endpoint TakenBy;
 };
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -223,6 +223,11 @@
   PoolMember *In = poolFor(What);
   if (!In && !What->RefusedBy.empty())
     return finish(What, What->Refusal);
+  if (!In && areAllEvacuated()) {
+    JobAnswer ShutOut = notTaken("all data centres are evacuated");
+    ShutOut.RetryAfter = RetryAfterEvacuation;
+    return finish(What, ShutOut);
+  }
   if (!In || In->view().Owner.Token == FencingToken(0))
     return park(What);
   const Endpoint &Owner = In->view().Owner.At;
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -67,6 +67,9 @@
   void fetchWorkers(const Endpoint &Leader);
   void takeDocument(const Json::Value &Result);
   void takePlan(const Json::Value &Result);
+  void takeEvacuations(const Json::Value &Result);
+  /// How many tasks run under this entry's orders in evacuated data centres.
+  Json::Value writeEvacuatedRunning() const;
   void takeWorkers(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
   void takeOwners(const Json::Value &Result);
@@ -129,6 +132,10 @@
   std::vector<PoolMember *> poolsToWeigh(const Job &Wanted,
                                          const std::set<PoolName> &Without,
                                          PoolMember *Home) const;
+  /// Whether the pool's workers are all in an evacuated data centre.
+  bool isEvacuated(const PoolMember &In) const;
+  bool areAllEvacuated() const;
+  void noteRefusedBy(Ask &What, const JobAnswer &Refusal) const;
   /// Takes a job that a pool's owner has refused to another pool; returns
   /// whether there is one.
   bool tryElsewhere(const AskPtr &What, const JobAnswer &Refusal);
@@ -194,6 +201,9 @@
   std::uint64_t WorkersChange_ = 0;
   bool FetchesDocument_ = false;
   bool FetchesWorkers_ = false;
+  /// Data centres that are evacuated, and the last order that this covers.
+  std::set<DataCentreId> Evacuated_;
+  EvacuationNumber EvacuationsKnown_;
   /// In which pool each worker is.
   std::map<WorkerId, PoolName> WorkerPools_;
   /// Entries, and when the leader last named each.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -6,6 +6,7 @@
 
 #include "framework/log/log.h"
 #include "jobs/internal/entryjobs.h"
+#include "jobs/internal/evacuationwire.h"
 #include "jobs/internal/jobmessages.h"
 
 #include <algorithm>
@@ -49,6 +50,9 @@
   Params["lists_of"] = Json::UInt64(ListsOf_);
   Params["entries_change"] = Json::UInt64(EntriesChange_);
   Params["owners_change"] = Json::UInt64(OwnersChange_);
+  Params["evacuations_change"] = Json::UInt64(EvacuationsKnown_.value());
+  if (!Evacuated_.empty())
+    Params["evacuated_running"] = writeEvacuatedRunning();
   // Entries of other data centres hear of a pool's owner from control.
   for (const auto &[Name, In] : Pools_)
     if (Plan_ == PoolPlan::ByRack && In->scheduler())
@@ -61,6 +65,7 @@
   followLists(Result);
   takeEntryList(Result);
   takePlan(Result);
+  takeEvacuations(Result);
   takeWorkers(Result);
   rankCandidates();
   takeOwners(Result);
@@ -97,11 +102,13 @@
   Json::Value Params(Json::objectValue);
   Params["workers_of"] = Json::UInt64(WorkersOf_);
   Params["workers_change"] = Json::UInt64(WorkersChange_);
+  Params["evacuations_change"] = Json::UInt64(EvacuationsKnown_.value());
   Control_.fetch(Leader, wire::method::Workers, std::move(Params), FetchTimeout,
                  [this](const Outcome<Json::Value> &Result) {
                    FetchesWorkers_ = false;
                    if (!Result)
                      return;
+                   takeEvacuations(*Result);
                    takeWorkers(*Result);
                    rankCandidates();
                  });
@@ -141,13 +148,52 @@
     }
 }
 
+void EntryJobs::takeEvacuations(const Json::Value &Result) {
+  if (!Result.isMember("evacuations"))
+    return;
+  auto Told =
+      attempt([&] { return wire::readEvacuations(Result["evacuations"]); });
+  if (!Told)
+    logEvent(LogLevel::Error, Module, "evacuations_unreadable",
+             {{"reason", Told.error().Message}});
+  // An answer of a control VM that is behind may come later.
+  if (!Told || Told->Last <= EvacuationsKnown_)
+    return;
+  EvacuationsKnown_ = Told->Last;
+  Evacuated_ = evacuatedOf(*Told);
+  std::string Names;
+  for (const DataCentreId &Each : Evacuated_)
+    Names += (Names.empty() ? "" : ",") + Each.value();
+  logEvent(LogLevel::Info, Module, "evacuations_in_force",
+           {{"number", EvacuationsKnown_.value()}, {"evacuated", Names}});
+  Needs_.Measured.set("geraniumbay_evacuated_data_centres",
+                      "Data centres that are evacuated.", {},
+                      static_cast<double>(Evacuated_.size()));
+  for (const auto &[Name, In] : Pools_)
+    In->evacuationsChanged();
+}
+
+Json::Value EntryJobs::writeEvacuatedRunning() const {
+  Json::Value Result(Json::objectValue);
+  for (const DataCentreId &Each : Evacuated_) {
+    std::size_t Running = 0;
+    for (const auto &[Name, In] : Pools_)
+      if (const Scheduler *Of = In->scheduler())
+        Running += Of->runningIn(Each);
+    if (Running != 0)
+      Result[Each.value()] = Json::UInt64(Running);
+  }
+  return Result;
+}
+
 PoolMember &EntryJobs::memberOf(const PoolName &Name,
                                 const DataCentreId &DataCentre) {
   std::unique_ptr<PoolMember> &Place = Pools_[Name];
   if (Place)
     return *Place;
   PoolMemberNeeds Needs{Needs_.Workers,  Needs_.Clock, Needs_.Timers,
-                        Needs_.Measured, Lease_,       Peers_};
+                        Needs_.Measured, Lease_,       Peers_,
+                        Evacuated_};
   Place = std::make_unique<PoolMember>(Needs, Name, DataCentre, Self_);
   Place->view().Stopping = Stopping_;
   RanksDue_ = true;
--- a/src/jobs/internal/jobmessages.cpp
+++ b/src/jobs/internal/jobmessages.cpp
@@ -29,6 +29,10 @@
     Result["retry_us"] = Json::Int64(Value.RetryAfter.count());
   if (!Value.Reason.empty())
     Result["reason"] = Value.Reason;
+  if (Value.Evacuated)
+    Result["evacuated"] = true;
+  if (Value.HasRun)
+    Result["has_run"] = true;
   return Result;
 }
 
@@ -47,6 +51,9 @@
   BOOST_LEAF_AUTO(Retry, json::readUintOr(From, "retry_us", 0));
   Result.RetryAfter = Duration(static_cast<Duration::rep>(Retry));
   BOOST_LEAF_ASSIGN(Result.Reason, json::readStringOr(From, "reason", ""));
+  BOOST_LEAF_ASSIGN(Result.Evacuated,
+                    json::readBoolOr(From, "evacuated", false));
+  BOOST_LEAF_ASSIGN(Result.HasRun, json::readBoolOr(From, "has_run", false));
   return Result;
 }
 
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -9,18 +9,20 @@
 //   jobs.pending {host, path} -> answer
 //   jobs.sync    {entry, data_centre, configuration, workers_of,
 //                 workers_change, lists_of, entries_change, owners_change,
+//                 evacuations_change, evacuated_running?: {DATA_CENTRE: tasks},
 //                 owned?: {POOL: REPORT}}
 //     -> {leader, ready, members, schedules, configuration?, document?,
 //         large_document?, workers_of?, workers_change?, workers?, removed?,
-//         many_workers?, lists_of?, entries_change?,
+//         many_workers?, evacuations?, lists_of?, entries_change?,
 //         entries?: [{at, data_centre}], by_rack?, owners_change?,
 //         owners?: {POOL: REPORT, or null where the owner is silent}}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers, entries and owners. What is large is named only. REPORT is
 //     owner, token, load
 //   jobs.document {} -> {configuration, document}; any control VM has it
-//   jobs.workers {workers_of, workers_change}
-//     -> {workers_of, workers_change, workers, removed?} or {leader}
+//   jobs.workers {workers_of, workers_change, evacuations_change}
+//     -> {workers_of, workers_change, workers, removed?, evacuations?}
+//     or {leader}
 //   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, sent_us,
 //                 stopping} -> {pools: {POOL: CLAIM}, stamp_us, stopping,
 //                 suspects?: {JOB: tasks that may crash workers}}
@@ -37,6 +39,12 @@
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.share {workers_of, since, workers_change, workers?, removed?}
 //     -> {behind?}: from the leader to the others, what has changed since
+//   evacuation.order {data_centre, evacuate, base?, at_ms?} -> {}
+//     passed on to the leader with base, the number of the data centre's last
+//     order as the control VM that took this one knew it
+//   evacuation.list {forwarded?} -> {evacuations: [{data_centre, since_ms,
+//     running, entries_behind}]}
+//     passed on to the leader
 //   routing.put  {document} -> {}; routing.get {} -> {document}
 //     passed on to the leader
 //
@@ -71,6 +79,8 @@
 constexpr const char *Share = "workers.share";
 constexpr const char *PutRouting = "routing.put";
 constexpr const char *GetRouting = "routing.get";
+constexpr const char *Evacuate = "evacuation.order";
+constexpr const char *Evacuations = "evacuation.list";
 } // namespace method
 
 /// Whether the field \p Name is there and true.
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -75,6 +75,7 @@
   Offer(wire::method::Sync, &JobService::sync);
   Offer(wire::method::Document, &JobService::document);
   Offer(wire::method::Workers, &JobService::workers);
+  offerEvacuations();
   auto Acknowledged = [](const Reply &Answer) {
     return [Answer](const Outcome<Done> &Was) {
       if (Was)
@@ -120,6 +121,7 @@
 }
 
 void JobService::follow() {
+  followEvacuations();
   const control::ConfigSnapshot &Now = Needs_.Log.configuration();
   if (Now.Version != RoutingFrom_) {
     RoutingFrom_ = Now.Version;
@@ -160,6 +162,7 @@
                        },
                        &Needs_.Log,
                        Needs_.Store,
+                       Evacuated_,
                        Needs_.Workers,
                        Needs_.Clock,
                        Needs_.Timers,
@@ -171,6 +174,7 @@
 
 void JobService::tick() {
   dropSilent(Directory_, Needs_.Clock.now());
+  followEvacuations();
   if (Scheduler_)
     Scheduler_->takeWorkers(Directory_);
   divideIfLarge();
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -27,6 +27,8 @@
   Metrics &Measured;
   IRpcServer &Server;
   IRpcClient &Client;
+  /// Those that the settings name; others are known from what is there.
+  std::set<DataCentreId> DataCentres;
 };
 
 class JobService : public IJobControl {
@@ -40,6 +42,8 @@
   void workerLeaves(const WorkerId &Worker, Acknowledge Done) override;
   void putRouting(const std::string &Document, Acknowledge Done) override;
   void getRouting(std::function<void(Outcome<std::string>)> Done) override;
+  void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
+                       Acknowledge Done) override;
   std::optional<Endpoint> leader() const override {
     return Needs_.Log.leaderAddress();
   }
@@ -88,6 +92,21 @@
   /// owns the workers.
   void engage();
 
+  // Evacuations (evacuationservice.cpp).
+  void offerEvacuations();
+  bool isKnown(const DataCentreId &DataCentre) const;
+  void takeEvacuation(const EvacuationOrder &Order, bool Forwarded,
+                      const Acknowledge &Done);
+  void recordEvacuation(const EvacuationOrder &Order, const Acknowledge &Done);
+  /// What has changed since the entry that asks was told.
+  void tellEvacuations(const Json::Value &Params, Json::Value &Into) const;
+  void takeEvacuationWord(const Json::Value &Params, const EntryPlace &From);
+  /// For operators: what is evacuated and how far that is obeyed.
+  void listEvacuations(const Json::Value &Params, const Reply &Answer);
+  Json::Value describeEvacuation(const DataCentreId &DataCentre,
+                                 const EvacuationRecord &Record) const;
+  void followEvacuations();
+
   // Passed on to the leader. Forwarded messages are not passed on again.
   void passOn(const char *Method, Json::Value Params, bool Forwarded,
               std::function<void(Outcome<Json::Value>)> Done);
@@ -110,6 +129,16 @@
   std::unique_ptr<Scheduler> Scheduler_;
   /// Entries, and when each was last heard.
   std::map<EntryPlace, Time> Entries_;
+  /// What an entry said last of the evacuations: which it knows of, and how
+  /// many tasks run in evacuated data centres under its orders.
+  struct EvacuationWord {
+    EvacuationNumber Known;
+    std::map<DataCentreId, std::uint64_t> Running;
+  };
+  std::map<Endpoint, EvacuationWord> EvacuationWords_;
+  /// Of the evacuations that the log and the scheduler here know.
+  EvacuationNumber EvacuationsSeen_;
+  std::set<DataCentreId> Evacuated_;
   /// Counts the changes of this list, and of the next one.
   std::uint64_t EntriesChange_ = 0;
   std::uint64_t OwnersChange_ = 0;
--- a/src/jobs/internal/jobstore.cpp
+++ b/src/jobs/internal/jobstore.cpp
@@ -104,6 +104,8 @@
     cancel(Store, Id);
   for (const JobId &Id : Changes.Forgotten)
     Store.Jobs.erase(Id);
+  for (const EvacuationOrder &Each : Changes.Evacuations)
+    apply(Store.Evacuated, Each);
   if (Changes.DividesByRacks)
     Store.Plan = PoolPlan::ByRack;
 }
--- a/src/jobs/internal/jobwire.cpp
+++ b/src/jobs/internal/jobwire.cpp
@@ -6,6 +6,8 @@
 
 #include "jobs/internal/jobwire.h"
 
+#include "jobs/internal/evacuationwire.h"
+
 #include <algorithm>
 
 namespace geraniumbay::jobs::wire {
@@ -333,6 +335,8 @@
     Result["cancelled"].append(Each.value());
   for (const JobId &Each : Value.Forgotten)
     Result["forgotten"].append(Each.value());
+  for (const EvacuationOrder &Each : Value.Evacuations)
+    Result["evacuations"].append(write(Each));
   if (Value.DividesByRacks)
     Result["divides_by_racks"] = true;
   return json::write(Result);
@@ -348,6 +352,9 @@
                     readList<JobId>(From, "cancelled", readId));
   BOOST_LEAF_ASSIGN(Result.Forgotten,
                     readList<JobId>(From, "forgotten", readId));
+  BOOST_LEAF_ASSIGN(
+      Result.Evacuations,
+      readList<EvacuationOrder>(From, "evacuations", readEvacuationOrder));
   BOOST_LEAF_ASSIGN(Result.DividesByRacks,
                     json::readBoolOr(From, "divides_by_racks", false));
   return Result;
@@ -361,6 +368,8 @@
     Stored["tasks"] = writeTasks(Each);
   }
   Result["by_rack"] = Value.Plan == PoolPlan::ByRack;
+  if (Value.Evacuated.Last != EvacuationNumber(0))
+    Result["evacuations"] = write(Value.Evacuated);
   return json::write(Result);
 }
 
@@ -370,6 +379,9 @@
   BOOST_LEAF_AUTO(ByRack, json::readBoolOr(From, "by_rack", false));
   JobStore Result;
   Result.Plan = ByRack ? PoolPlan::ByRack : PoolPlan::One;
+  if (From.isMember("evacuations")) {
+    BOOST_LEAF_ASSIGN(Result.Evacuated, readEvacuations(From["evacuations"]));
+  }
   for (Job &Each : Jobs)
     Result.Jobs.emplace(Each.Id, Each);
   return Result;
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -54,7 +54,7 @@
 PoolLoad Scheduler::load() const {
   PoolLoad Result;
   for (const auto &[Id, With] : Sessions_) {
-    if (!With.Known || With.Silent || With.Info.Draining)
+    if (!With.Known || With.Silent || With.Info.Draining || With.Evacuated)
       continue;
     Result.Capacity += With.Info.Capacity.CpuMillis;
     Result.Used += With.Used.CpuMillis;
@@ -86,6 +86,8 @@
 void Scheduler::schedule() {
   if (!Needs_.MayOrder())
     return;
+  if (!Needs_.Evacuated.empty())
+    moveShutOut();
   Time Now = Needs_.Clock.now();
   std::size_t Skipped = 0;
   for (auto It = Queue_.begin(); It != Queue_.end() && Skipped < MaxSkipped;) {
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -60,7 +60,8 @@
   std::vector<PoolMember *> Far;
   std::vector<PoolMember *> Result;
   for (const auto &[Name, In] : Pools_) {
-    if (!In->expectedWait(Wanted) || Without.count(Name) != 0)
+    if (!In->expectedWait(Wanted) || Without.count(Name) != 0 ||
+        isEvacuated(*In))
       continue;
     if (!firstStep(Wanted).PreferredRack.empty() &&
         lossAwayFromData(Wanted, *In).count() == 0)
@@ -71,7 +72,8 @@
       Near.push_back(In.get());
   }
   std::size_t Mix = mixOf(Wanted.Id);
-  if (Home && Home->expectedWait(Wanted) && Without.count(Home->name()) == 0)
+  if (Home && Home->expectedWait(Wanted) && Without.count(Home->name()) == 0 &&
+      !isEvacuated(*Home))
     Result.push_back(Home);
   for (const auto *Group : {&Near, &Far})
     for (std::size_t I = 0; I < std::min(Weighed, Group->size()); ++I) {
@@ -104,12 +106,39 @@
   return Best;
 }
 
+bool EntryJobs::isEvacuated(const PoolMember &In) const {
+  return Plan_ != PoolPlan::One && Evacuated_.count(In.dataCentre()) != 0;
+}
+
+bool EntryJobs::areAllEvacuated() const {
+  return !Evacuated_.empty() &&
+         std::all_of(Pools_.begin(), Pools_.end(), [this](const auto &Entry) {
+           return isEvacuated(*Entry.second);
+         });
+}
+
+void EntryJobs::noteRefusedBy(Ask &What, const JobAnswer &Refusal) const {
+  What.Refusal = Refusal;
+  What.RefusedBy.insert(What.Pool);
+  if (!Refusal.Evacuated) {
+    ++What.Refusals;
+    return;
+  }
+  What.HasRun = What.HasRun || Refusal.HasRun;
+  // The owner knew of an evacuation before this entry.
+  const PoolMember *By = findPool(What.Pool);
+  for (const auto &[Name, In] : Pools_)
+    if (By && In->dataCentre() == By->dataCentre())
+      What.RefusedBy.insert(Name);
+}
+
 bool EntryJobs::tryElsewhere(const AskPtr &What, const JobAnswer &Refusal) {
-  if (Refusal.Outcome != JobOutcome::NotTaken || What->MaybeTaken ||
-      Plan_ == PoolPlan::One || What->RefusedBy.size() >= MostRefusals)
+  if (Refusal.Outcome != JobOutcome::NotTaken)
+    return false;
+  bool Enough = !Refusal.Evacuated && What->Refusals >= MostRefusals;
+  noteRefusedBy(*What, Refusal);
+  if (What->MaybeTaken || Plan_ == PoolPlan::One || Enough)
     return false;
-  What->RefusedBy.insert(What->Pool);
-  What->Refusal = Refusal;
   PoolMember *Next = choosePool(What->Wanted, What->RefusedBy);
   if (!Next)
     return false;
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -137,6 +137,7 @@
                        },
                        nullptr,
                        NoDurableJobs_,
+                       Needs_.Evacuated,
                        Needs_.Workers,
                        Needs_.Clock,
                        Needs_.Timers,
@@ -158,6 +159,11 @@
     Scheduler_->takeWorkers(Directory_);
 }
 
+void PoolMember::evacuationsChanged() {
+  if (Scheduler_)
+    Scheduler_->evacuationsChanged();
+}
+
 Json::Value PoolMember::writeClaim() const {
   Json::Value Result(Json::objectValue);
   Result["owner"] = View_.Owner.At.text();
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -22,6 +22,8 @@
   Metrics &Measured;
   LeaseSettings Lease;
   const PeerTable &Peers;
+  /// Data centres that are evacuated.
+  const std::set<DataCentreId> &Evacuated;
 };
 
 class PoolMember {
@@ -56,6 +58,7 @@
   void letGo();
   /// Hands the directory to the scheduler.
   void workersChanged();
+  void evacuationsChanged();
 
   Json::Value writeClaim() const;
   /// What entries of other data centres need: owner, token and a load that is
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -170,7 +170,8 @@
 void Scheduler::enqueue(const TaskId &Id) {
   const TaskRecord *Record = taskOf(Id);
   if (!Record || Record->Done || Places_.count(Id) != 0 ||
-      Ranks_.count(Id) != 0 || Ending_.count(Id) != 0)
+      Ranks_.count(Id) != 0 || Ending_.count(Id) != 0 ||
+      Leaving_.count(Id.Job) != 0)
     return;
   const Job &Of = *jobOf(Id.Job);
   if (mayHaveEarlierRun(Of) || !dependenciesDone(Of, Id.Step))
@@ -218,6 +219,7 @@
     return;
   }
   Unsettled_.erase(Id);
+  Leaving_.erase(Id);
   if (Of)
     answerWaiters(Id, endOf(Id, Of->State));
   Begun_.erase(Id);
@@ -227,8 +229,10 @@
 TransientEnd Scheduler::endOf(const JobId &Id, JobState State) const {
   auto Found = Waiters_.find(Id);
   if (Found == Waiters_.end())
-    return {State, "", Duration(0)};
-  return {State, Found->second.Reason, Found->second.RetryAfter};
+    return endedAs(State);
+  const Waiters &Job = Found->second;
+  bool HasRun = Job.Evacuated && hasBegun(Id);
+  return {State, Job.Reason, Job.RetryAfter, Job.Evacuated, HasRun};
 }
 
 Duration Scheduler::tookSoFar(const JobId &Id) const {
@@ -298,6 +302,8 @@
   giveUpLate(Now);
   stopOrphans(Now);
   releaseUnsettled(Now);
+  finishMoves();
+  noteEmptied();
   if (!TakenOver_ && Now >= TakenOverAt_)
     takeOver();
   scheduleSoon();
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -44,6 +44,8 @@
   control::IReplicatedLog *Log;
   /// The durable jobs; empty where there is no log.
   const JobStore &Store;
+  /// Data centres whose workers get no tasks; see evacuationsChanged().
+  const std::set<DataCentreId> &Evacuated;
   IWorkerCalls &Workers;
   const IClock &Clock;
   ITimers &Timers;
@@ -133,6 +135,10 @@
 
   /// Takes what is known of the workers now.
   void takeWorkers(const WorkerDirectory &Directory);
+  /// Heeds the data centres that are evacuated from now on, and no more.
+  void evacuationsChanged();
+  /// How many tasks run in \p DataCentre.
+  std::size_t runningIn(const DataCentreId &DataCentre) const;
 
 private:
   struct Waiters;
@@ -191,6 +197,21 @@
   bool hasOrphans(const JobId &Id) const;
   void stopOrphans(Time Now);
 
+  // Jobs that leave an evacuated data centre (evacuationmoves.cpp).
+  /// Whether the workers that could run \p Step of \p Of are all in evacuated
+  /// data centres.
+  bool isShutOut(const Job &Of, const StepSpec &Step) const;
+  /// Whether that holds for a step that is to come.
+  bool isShutOut(const Job &Of) const;
+  /// Sends the transient jobs away that wait here in vain.
+  void moveShutOut();
+  void moveAway(const JobId &Id);
+  /// Keeps the refusal of a job that leaves, and returns it.
+  TransientEnd noteShutOut(const JobId &Id, bool HasRun);
+  /// Answers for those whose last run has ended.
+  void finishMoves();
+  void noteEmptied();
+
   // Jobs and their tasks (scheduler.cpp).
   void takeOver();
   void takeOverIfAllKnown();
@@ -337,9 +358,15 @@
     /// Of one that was given up: why, and when to come back.
     std::string Reason;
     Duration RetryAfter{0};
+    /// It leaves an evacuated data centre.
+    bool Evacuated = false;
   };
   /// Of transient jobs that are active.
   std::unordered_map<JobId, Waiters> Waiters_;
+  /// Transient jobs that leave; their runs are being stopped.
+  std::unordered_set<JobId> Leaving_;
+  /// Evacuated data centres where tasks of this owner still run.
+  std::set<DataCentreId> Emptying_;
   /// Tasks of unknown jobs that an earlier owner has left.
   struct Orphan {
     WorkerId Worker;
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -12,6 +12,8 @@
 #include "jobs/internal/jobservice.h"
 #include "jobs/internal/jobwire.h"
 
+#include <algorithm>
+
 namespace geraniumbay::jobs {
 
 namespace {
@@ -47,6 +49,7 @@
       attempt([&] { return json::readUintOr(Params, "configuration", 0); });
   if (Has && ConfigVersion(*Has) < Needs_.Log.configuration().Version)
     tellDocument(false, Result);
+  tellEvacuations(Params, Result);
   if (serves())
     tellEntry(Params, Result);
   Answer(std::move(Result));
@@ -58,9 +61,17 @@
   auto Where = attempt([&] { return json::readString(Params, "data_centre"); });
   bool New = At && Where &&
              Entries_.insert_or_assign({*At, DataCentreId(*Where)}, Now).second;
+  if (At && Where)
+    takeEvacuationWord(Params, {*At, DataCentreId(*Where)});
   std::size_t Gone = std::erase_if(Entries_, [&](const auto &Entry) {
     return Now - Entry.second >= EntrySilence;
   });
+  if (Gone != 0)
+    std::erase_if(EvacuationWords_, [&](const auto &Word) {
+      return std::none_of(
+          Entries_.begin(), Entries_.end(),
+          [&](const auto &Entry) { return Entry.first.At == Word.first; });
+    });
   if (New || Gone != 0)
     ++EntriesChange_;
   if (Now - LeadsSince_ >= EntriesDelay)
@@ -128,6 +139,8 @@
   if (!serves())
     return Answer(redirection());
   Json::Value Result(Json::objectValue);
+  // Who learns of workers learns at the same time which ones get no tasks.
+  tellEvacuations(Params, Result);
   tellWorkers(Params, true, Result);
   Answer(std::move(Result));
 }
--- a/src/jobs/internal/submission.cpp
+++ b/src/jobs/internal/submission.cpp
@@ -27,6 +27,8 @@
   if (Ended.State == JobState::Cancelled) {
     JobAnswer Refusal = outcome(JobOutcome::NotTaken, Ended.Reason);
     Refusal.RetryAfter = Ended.RetryAfter;
+    Refusal.Evacuated = Ended.Evacuated;
+    Refusal.HasRun = Ended.HasRun;
     return Refusal;
   }
   JobAnswer Result = outcome(JobOutcome::Known);
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -42,7 +42,7 @@
     }
     // One that was given up before it began may be handed in again.
     if (Known->State != JobState::Cancelled)
-      return Ended(TransientEnd{Known->State, "", Duration(0)});
+      return Ended(endedAs(Known->State));
     Transient_.Jobs.erase(Id);
   }
   Time Now = Needs_.Clock.now();
@@ -58,7 +58,9 @@
       std::any_of(New.Suspects.begin(), New.Suspects.end(),
                   [](const SuspectTask &Each) { return Each.Seen.Guilty; });
   if (Guilty)
-    return Ended(TransientEnd{JobState::Failed, CrashReason, Duration(0)});
+    return Ended(endedAs(JobState::Failed, CrashReason));
+  if (!How.MaybeTaken && !hasOrphans(Id) && isShutOut(New))
+    return Ended(noteShutOut(Id, false));
   // Right after a take-over nobody can tell how long it will wait.
   if (!How.MaybeTaken && !hasOrphans(Id) && knowsWorkersOf(New.Service)) {
     if (!fitsSomewhere(New))
@@ -246,7 +248,9 @@
 
 TransientEnd Scheduler::noteRefusal(const JobId &Id, const char *Reason,
                                     Duration RetryAfter, Time Now) {
-  TransientEnd Refusal{JobState::Cancelled, Reason, RetryAfter};
+  TransientEnd Refusal;
+  Refusal.Reason = Reason;
+  Refusal.RetryAfter = RetryAfter;
   Refused_[Id] = {Now, Refusal};
   return Refusal;
 }
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -78,6 +78,8 @@
   /// Some tasks run there that belong to no job here, so that it has less room
   /// than is known.
   bool HasUnknownRuns = false;
+  /// Its data centre is evacuated: what runs there goes on, nothing starts.
+  bool Evacuated = false;
   /// It is kept free until then for a task that must run alone.
   Time ReservedUntil;
 
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -45,6 +45,7 @@
     WorkerSession &With = Place->second;
     bool Drains = Known.Info.Draining && !With.Info.Draining;
     With.Info = Known.Info;
+    With.Evacuated = Needs_.Evacuated.count(Known.Info.DataCentre) != 0;
     if (Drains)
       logEvent(LogLevel::Info, Module, "worker_drains", {{"worker", Id}});
     if (!Fresh)
--- a/src/jobs/jobssetup.cpp
+++ b/src/jobs/jobssetup.cpp
@@ -16,7 +16,8 @@
 namespace framework_name = geraniumbay::service_name;
 
 void setUpJobControl(Registry &Services, RoutingReader Reader,
-                     Duration LongestLease) {
+                     Duration LongestLease,
+                     std::set<DataCentreId> DataCentres) {
   LeaseSettings Lease;
   Lease.Longest = LongestLease;
   JobServiceNeeds Needs{
@@ -28,7 +29,8 @@
       Services.get<ITimers>(framework_name::Timers),
       Services.get<Metrics>(framework_name::Metrics),
       Services.get<IRpcServer>(framework_name::RpcServer),
-      Services.get<IRpcClient>(framework_name::RpcClient)};
+      Services.get<IRpcClient>(framework_name::RpcClient),
+      std::move(DataCentres)};
   auto Service = std::make_shared<JobService>(Needs, std::move(Reader), Lease);
   Services.add<IJobControl>(service_name::JobControl, Service);
   Service->start();
--- a/src/jobs/jobssetup.h
+++ b/src/jobs/jobssetup.h
@@ -29,8 +29,9 @@
 
 /// Registers IJobControl on a control VM and starts it. Needs the framework's
 /// services, "replicated_log", "worker_calls" and "job_store".
+/// \p DataCentres are those that the settings name.
 void setUpJobControl(Registry &Services, RoutingReader Reader,
-                     Duration LongestLease);
+                     Duration LongestLease, std::set<DataCentreId> DataCentres);
 
 /// Registers IJobGateway on an entry, which its peers reach at \p Self, and
 /// starts to look for the leader among \p ControlVms. Needs the framework's
--- a/src/jobs/jobstore.h
+++ b/src/jobs/jobstore.h
@@ -15,9 +15,10 @@
 
 namespace geraniumbay::jobs {
 
-/// All jobs that are remembered.
+/// All jobs that are remembered, and what operators have ordered.
 struct JobStore {
   std::unordered_map<JobId, Job> Jobs;
+  Evacuations Evacuated;
   PoolPlan Plan = PoolPlan::One;
 };
 
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -11,6 +11,7 @@
 
 #include "framework/clock/iclock.h"
 #include "framework/types/strongid.h"
+#include "jobs/evacuations.h"
 #include "scheduling/suspicion.h"
 #include "scheduling/usefulness.h"
 
@@ -181,12 +182,14 @@
   std::vector<TaskLoss> Lost;
   std::vector<JobId> Cancelled;
   std::vector<JobId> Forgotten;
+  std::vector<EvacuationOrder> Evacuations;
   /// From now on the workers are divided by racks, for good.
   bool DividesByRacks = false;
 
   bool empty() const {
     return Accepted.empty() && Ended.empty() && Lost.empty() &&
-           Cancelled.empty() && Forgotten.empty() && !DividesByRacks;
+           Cancelled.empty() && Forgotten.empty() && Evacuations.empty() &&
+           !DividesByRacks;
   }
   bool operator==(const JobChanges &) const = default;
 };
--- a/src/jobs/tests/controlfake.cpp
+++ b/src/jobs/tests/controlfake.cpp
@@ -20,8 +20,15 @@
 ControlFake::ControlFake(EntryFake &Fake, const std::string &Document)
     : Fake_(Fake), At_(Fake.controlAddress()), Rpc_(Fake.Net, At_),
       Workers_(Fake.Workers, At_.Address), Log(Fake.Timers, At_),
-      Service({Log, Log.Jobs.store(), Workers_, Fake.Clock, Fake.Timers,
-               Fake.Measured, Rpc_, Rpc_},
+      Service({Log,
+               Log.Jobs.store(),
+               Workers_,
+               Fake.Clock,
+               Fake.Timers,
+               Fake.Measured,
+               Rpc_,
+               Rpc_,
+               {}},
               readOneQueue, LeaseSettings()) {
   Log.Config.Version = ConfigVersion(1);
   Log.Config.Document = Document;
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -137,6 +137,8 @@
   if (Found != At.Tasks.end() || runsElsewhere(At, Order.Task))
     Doubled.insert(Order.Task);
   ++Starts;
+  ++StartsIn[At.Info.DataCentre];
+  LastStartIn[At.Info.DataCentre] = Clock_.now();
   std::uint64_t Serial = ++LastSerial_;
   if (CrashingJobs.count(Order.Task.Job) != 0) {
     ++StartsOfCrashing[Order.Task];
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -57,6 +57,8 @@
   /// Tasks of which two runs were there at one time.
   std::set<TaskId> Doubled;
   std::uint64_t Starts = 0;
+  std::map<DataCentreId, std::uint64_t> StartsIn;
+  std::map<DataCentreId, Time> LastStartIn;
   std::uint64_t StartsOnBroken = 0;
   std::uint64_t RoomRefusals = 0;
   /// By task of a crashing job.
