Command line, process test and stand-in for evacuations

Cause: operators without the platform had no way to evacuate a data centre, and no test met the order in real processes.

--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -67,6 +67,15 @@
 does.
 )";
 
+constexpr const char *EvacuateDetails =
+    R"(Empties a data centre before work on it: its workers get no more tasks, what
+runs there ends, and its callers are served elsewhere. The order lasts until it
+is withdrawn with --end. It is recorded by a majority of the control VMs when
+this returns; with --wait also known to all entries, and no task runs there
+(code 0), or --wait_ms is over (code 1; the order stands). Without DATA_CENTRE
+it shows what is evacuated.
+)";
+
 constexpr const char *DrainDetails =
     R"(Tells a process to take no new work, and waits until no request is in flight
 (code 0) or --wait_ms is over (code 1; the drain goes on). No request in flight
@@ -136,6 +145,15 @@
        0,
        0,
        runDrain},
+      {"evacuate",
+       "[DATA_CENTRE]",
+       "Empty a data centre, or take it back.",
+       EvacuateDetails,
+       {"end", "wait", "wait_ms", "control", "key_file", "settings",
+        "timeout_ms", "json"},
+       0,
+       1,
+       runEvacuate},
       {"explain",
        "JOB FILE...",
        "Tell from logs what became of a job, and why.",
--- a/src/cli/internal/commands.h
+++ b/src/cli/internal/commands.h
@@ -25,6 +25,8 @@
               std::ostream &Err);
 int runDrain(const Options &Values, Dependencies &Deps, std::ostream &Out,
              std::ostream &Err);
+int runEvacuate(const Options &Values, Dependencies &Deps, std::ostream &Out,
+                std::ostream &Err);
 int runExplain(const Options &Values, Dependencies &Deps, std::ostream &Out,
                std::ostream &Err);
 int runVersion(const Options &Values, Dependencies &Deps, std::ostream &Out,
--- a/src/cli/internal/flags.cpp
+++ b/src/cli/internal/flags.cpp
@@ -22,6 +22,8 @@
 DEFINE_uint32(timeout_ms, 10000,
               "how long one exchange with the system may take");
 DEFINE_uint32(wait_ms, 60000, "how long to wait for the work to end");
+DEFINE_bool(end, false, "the evacuation ends");
+DEFINE_bool(wait, false, "wait until the order is obeyed, for --wait_ms");
 DEFINE_string(against, "",
               "document in force; the new one must be a safe change of it");
 DEFINE_string(operation, "",
@@ -57,6 +59,8 @@
   Result.Entry = FLAGS_entry;
   Result.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   Result.Wait = std::chrono::milliseconds(FLAGS_wait_ms);
+  Result.End = FLAGS_end;
+  Result.WaitObeyed = FLAGS_wait;
   Result.Against = FLAGS_against;
   Result.Operation = FLAGS_operation;
   if (FLAGS_base >= 0)
--- a/src/cli/internal/methods.h
+++ b/src/cli/internal/methods.h
@@ -21,6 +21,10 @@
 /// {} -> {version, control_vms, voters, silent_voters, spare_voters, watchers,
 /// history}
 constexpr const char *ControlStatus = "control.status";
+/// {data_centre, evacuate} -> {}
+constexpr const char *Evacuate = "evacuation.order";
+/// {} -> {evacuations: [{data_centre, since_ms, running, entries_behind}]}
+constexpr const char *Evacuations = "evacuation.list";
 /// {} -> fields for people; running: requests in flight
 constexpr const char *AdminStatus = "admin.status";
 /// {} -> the same
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -37,7 +37,7 @@
   std::string Entry;
   /// How long one exchange with the system may take.
   Duration Timeout = std::chrono::seconds(10);
-  /// How long to wait for work to end (submit, drain).
+  /// How long to wait for work to end (submit, drain, evacuate).
   Duration Wait = std::chrono::minutes(1);
 
   // check and apply.
@@ -46,6 +46,12 @@
   std::string Operation;
   std::optional<std::uint64_t> Base;
 
+  // evacuate.
+  /// The evacuation ends.
+  bool End = false;
+  /// Wait until the order is obeyed.
+  bool WaitObeyed = false;
+
   // submit.
   std::string Key;
   std::string Caller;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -73,8 +73,9 @@
 class Worker:
     """A worker with a lease, a fencing token and numbered ends."""
 
-    def __init__(self, fleet, ip, port, name):
+    def __init__(self, fleet, ip, port, name, data_centre="barracas"):
         self.fleet = fleet
+        self.data_centre = data_centre
         self.name = name
         self.address = f"{ip}:{port}"
         self.lock = threading.Condition()
@@ -114,7 +115,7 @@
             body = {
                 "service": "triage",
                 "address": self.address,
-                "zone": "barracas",
+                "zone": self.data_centre,
                 "version": "v1",
                 "slots": 8,
                 "state": self.state,
@@ -277,6 +278,7 @@
             "serves": ["edge" if self.role == "edge" else "control_plane"],
             "ip": self.ip,
             "zone": "barracas",
+            "zones": {"barracas": "amba", "pompeya": "amba"},
             "listen": {
                 "front": f"{self.ip}:{self.fleet.port}",
                 "readiness": f"{self.ip}:{self.fleet.port + 1}",
@@ -341,7 +343,13 @@
             for i in range(entries)
         ]
         self.workers = [
-            Worker(self, f"{base}{100 + i}", self.port, f"i-{i}")
+            Worker(
+                self,
+                f"{base}{100 + i}",
+                self.port,
+                f"i-{i}",
+                "barracas" if i % 2 == 0 else "pompeya",
+            )
             for i in range(workers)
         ]
         self.prepare()
@@ -439,6 +447,24 @@
         wait_until(answered, seconds, "the configuration is answered")
         return answers[-1]
 
+    def evacuate(self, data_centre, end=False, seconds=20):
+        """Orders an evacuation, or its end, until it gets a clear answer."""
+        method = "DELETE" if end else "POST"
+        answers = []
+
+        def answered():
+            for address in self.shuffled_controls():
+                status, _ = request(
+                    address, method, f"/evacuations/{data_centre}", timeout=2
+                )
+                answers.append(status)
+                if status in (200, 400, 404):
+                    return True
+            return False
+
+        wait_until(answered, seconds, "the evacuation is answered")
+        return answers[-1]
+
     def config(self):
         for address in self.shuffled_controls():
             status, body = request(address, "GET", "/config", timeout=2)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import random
 import threading
 import unittest
 
@@ -223,6 +224,44 @@
         self.assertEqual(self.fleet.starts, 18)
         self.assertFalse(self.fleet.workers[0].highest)
 
+    def in_force(self, number):
+        """Waits until all entries know of the evacuation order."""
+        wait_until(
+            lambda: all(
+                f"event=evacuations_in_force number={number} " in machine.log()
+                for machine in self.fleet.entries
+            ),
+            20,
+            "all entries know",
+        )
+
+    def test_evacuated_data_centre_gets_nothing_more(self):
+        first = self.fleet.workers[0]
+        self.assertEqual(first.data_centre, "barracas")
+        self.assertEqual(self.fleet.evacuate("nowhere"), 404)
+        self.assertEqual(self.fleet.evacuate("barracas/"), 400)
+        self.assertEqual(self.fleet.evacuate("barracas"), 200)
+        self.in_force(1)
+        before = dict(first.highest)
+        for number in range(6):
+            status, _ = self.fleet.job(number % 3, f"{number:016x}", seconds=0.02)
+            self.assertEqual(status, 200)
+        # All processes end and come back: the order stands.
+        for machine in self.fleet.core + self.fleet.entries:
+            machine.kill()
+        for machine in self.fleet.core + self.fleet.entries:
+            machine.start()
+        for entry in range(3):
+            self.serve_again(entry, f"000000b{entry}")
+        self.assertEqual(first.highest, before)
+        self.assertEqual(self.fleet.evacuate("barracas", end=True), 200)
+        wait_until(
+            lambda: self.fleet.job(0, f"{random.getrandbits(63):016x}")[0] == 200
+            and first.highest != before,
+            30,
+            "its workers are used again",
+        )
+
     def test_bad_configurations_change_nothing(self):
         good = self.fleet.manifest(50)
         route = good["routes"][0]
