Acknowledge announcements that say nothing new at each control VM

Lists of workers went to followers and entries whole: 600 KB a message, repeated each second to a follower that did not answer within one. Ruled out: passing all announcements on in batches (the worker waits for the answer). Change: a control VM acknowledges itself what its leader knows already and tells it every two seconds whom it has heard; workers stay with the control VM that they came to; lists go to followers in parts of 200 workers, one at a time; entries fetch long lists from followers of the same term.

--- a/src/jobs/ijobcontrol.h
+++ b/src/jobs/ijobcontrol.h
@@ -36,9 +36,6 @@
   virtual void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
                                Acknowledge Done) = 0;
 
-  /// Where the leader is reached by its peers, if it is known.
-  virtual std::optional<Endpoint> leader() const = 0;
-
   /// Hands the leadership over, if this VM has it, gives up its vote where the
   /// group can do without, and calls back when this VM may stop.
   virtual void prepareStop(std::function<void()> Done) = 0;
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -64,7 +64,9 @@
   /// Asks \p From for the document; \p OrElse is asked if that fails.
   void fetchDocument(const Endpoint &From,
                      const std::optional<Endpoint> &OrElse);
-  void fetchWorkers(const Endpoint &Leader);
+  /// The same for the list of workers.
+  void fetchWorkers(const Endpoint &From,
+                    const std::optional<Endpoint> &OrElse);
   void takeDocument(const Json::Value &Result);
   void takePlan(const Json::Value &Result);
   void takeEvacuations(const Json::Value &Result);
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -73,7 +73,7 @@
     fetchDocument(Control_.spread(std::hash<std::string>()(Self_.text())),
                   From);
   if (Result.isMember("many_workers"))
-    fetchWorkers(From);
+    fetchWorkers(Control_.spread(std::hash<std::string>()(Self_.text())), From);
   if (wire::isSet(Result, "ready"))
     ControlSchedules_ = wire::isSet(Result, "schedules");
 }
@@ -95,7 +95,8 @@
                  OrElse ? SpreadFetchTimeout : FetchTimeout, std::move(Took));
 }
 
-void EntryJobs::fetchWorkers(const Endpoint &Leader) {
+void EntryJobs::fetchWorkers(const Endpoint &From,
+                             const std::optional<Endpoint> &OrElse) {
   if (FetchesWorkers_)
     return;
   FetchesWorkers_ = true;
@@ -103,14 +104,19 @@
   Params["workers_of"] = Json::UInt64(WorkersOf_);
   Params["workers_change"] = Json::UInt64(WorkersChange_);
   Params["evacuations_change"] = Json::UInt64(EvacuationsKnown_.value());
-  Control_.fetch(Leader, wire::method::Workers, std::move(Params), FetchTimeout,
-                 [this](const Outcome<Json::Value> &Result) {
+  Params["lists_of"] = Json::UInt64(ListsOf_);
+  Control_.fetch(From, wire::method::Workers, std::move(Params),
+                 OrElse ? SpreadFetchTimeout : FetchTimeout,
+                 [this, OrElse](const Outcome<Json::Value> &Result) {
                    FetchesWorkers_ = false;
-                   if (!Result)
-                     return;
-                   takeEvacuations(*Result);
-                   takeWorkers(*Result);
-                   rankCandidates();
+                   if (Result) {
+                     takeEvacuations(*Result);
+                     takeWorkers(*Result);
+                     rankCandidates();
+                   }
+                   bool Told = Result && (*Result)["workers"].isArray();
+                   if (!Told && OrElse)
+                     fetchWorkers(*OrElse, std::nullopt);
                  });
 }
 
--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -44,16 +44,70 @@
 
 void JobService::takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
                                   const Acknowledge &Done) {
-  announce(Directory_, Info, Needs_.Clock.now());
   if (serves()) {
-    if (Scheduler_)
+    std::uint64_t Before = Directory_.Changes;
+    announce(Directory_, Info, Needs_.Clock.now());
+    if (Scheduler_ && Directory_.Changes != Before)
       Scheduler_->takeWorkers(Directory_);
     return Done(geraniumbay::Done{});
   }
+  followLeader(Relay_, Needs_.Log.leaderAddress());
+  if (!Forwarded && Relay_.Leader && !isNews(Relay_, Info)) {
+    announce(Directory_, Info, Needs_.Clock.now());
+    Relay_.Heard.insert(Info.Worker);
+    return Done(geraniumbay::Done{});
+  }
   Json::Value Params(Json::objectValue);
   Params["worker"] = write(Info);
   passOn(wire::method::Announce, std::move(Params), Forwarded,
-         withoutValue(Done));
+         [this, Info, Done,
+          Leader = Relay_.Leader](const Outcome<Json::Value> &Result) {
+           if (!Result)
+             return Done(Result.error());
+           announce(Directory_, Info, Needs_.Clock.now());
+           if (Leader == Relay_.Leader)
+             noteKnown(Relay_, Info);
+           Done(geraniumbay::Done{});
+         });
+}
+
+void JobService::tellHeard() {
+  Needs_.Timers.after(HeardInterval, [this] { tellHeard(); });
+  followLeader(Relay_, Needs_.Log.leaderAddress());
+  if (Relay_.Heard.empty())
+    return;
+  Json::Value Params(Json::objectValue);
+  for (const WorkerId &Each : std::exchange(Relay_.Heard, {}))
+    Params["workers"].append(Each.value());
+  passOn(wire::method::Heard, std::move(Params), false,
+         [this](const Outcome<Json::Value> &Result) {
+           // Those whose word was lost are heard again soon.
+           if (!Result || !(*Result)["unknown"].isArray())
+             return;
+           for (const Json::Value &Each : (*Result)["unknown"])
+             if (Each.isString())
+               noteUnknown(Relay_, WorkerId(Each.asString()));
+         });
+}
+
+void JobService::takeHeard(const Json::Value &Params, const Reply &Answer) {
+  if (!serves())
+    return Answer(Error{ErrorCode::Unavailable, "not the leader"});
+  auto Workers = attempt([&] { return json::readArray(Params, "workers"); });
+  if (!Workers)
+    return Answer(Workers.error());
+  Json::Value Result(Json::objectValue);
+  std::set<WorkerId> Heard;
+  for (const Json::Value &Each : *Workers) {
+    if (!Each.isString())
+      continue;
+    WorkerId Id(Each.asString());
+    if (Directory_.Workers.count(Id) == 0)
+      Result["unknown"].append(Each);
+    Heard.insert(std::move(Id));
+  }
+  confirmWorkers(Directory_, Heard, Needs_.Clock.now());
+  Answer(std::move(Result));
 }
 
 void JobService::workerLeaves(const WorkerId &Worker, Acknowledge Done) {
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -20,9 +20,9 @@
 //     of workers, entries and owners. What is large is named only. REPORT is
 //     owner, token, load
 //   jobs.document {} -> {configuration, document}; any control VM has it
-//   jobs.workers {workers_of, workers_change, evacuations_change}
+//   jobs.workers {workers_of, workers_change, lists_of, evacuations_change}
 //     -> {workers_of, workers_change, workers, removed?, evacuations?}
-//     or {leader}
+//     or {leader}; a follower has the whole list of its leader's term lists_of
 //   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, sent_us,
 //                 stopping} -> {pools: {POOL: CLAIM}, stamp_us, stopping,
 //                 suspects?: {JOB: tasks that may crash workers}}
@@ -37,8 +37,11 @@
 //     between entries
 //   workers.announce {worker} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
-//   workers.share {workers_of, since, workers_change, workers?, removed?}
-//     -> {behind?}: from the leader to the others, what has changed since
+//   workers.heard {workers} -> {unknown?: workers that it does not have}
+//     to the leader: who has announced nothing new lately
+//   workers.share {workers_of, leader, since, workers_change, workers?,
+//     removed?} -> {behind?}
+//     from the leader to the others, what has changed since, in parts
 //   evacuation.order {data_centre, evacuate, base?, at_ms?} -> {}
 //     passed on to the leader with base, the number of the data centre's last
 //     order as the control VM that took this one knew it
@@ -76,6 +79,7 @@
 constexpr const char *Register = "pool.register";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
+constexpr const char *Heard = "workers.heard";
 constexpr const char *Share = "workers.share";
 constexpr const char *PutRouting = "routing.put";
 constexpr const char *GetRouting = "routing.get";
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -58,6 +58,7 @@
   follow();
   tick();
   shareWorkers();
+  tellHeard();
 }
 
 void JobService::offerMethods() {
@@ -72,6 +73,7 @@
   Offer(wire::method::Cancel, &JobService::cancel);
   Offer(wire::method::Pending, &JobService::pending);
   Offer(wire::method::Share, &JobService::takeShared);
+  Offer(wire::method::Heard, &JobService::takeHeard);
   Offer(wire::method::Sync, &JobService::sync);
   Offer(wire::method::Document, &JobService::document);
   Offer(wire::method::Workers, &JobService::workers);
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -11,6 +11,7 @@
 #include "framework/rpc/irpcclient.h"
 #include "framework/rpc/irpcserver.h"
 #include "jobs/ijobcontrol.h"
+#include "jobs/internal/announcementrelay.h"
 #include "jobs/internal/pools.h"
 #include "jobs/internal/scheduler.h"
 #include "jobs/routing.h"
@@ -44,9 +45,6 @@
   void getRouting(std::function<void(Outcome<std::string>)> Done) override;
   void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
                        Acknowledge Done) override;
-  std::optional<Endpoint> leader() const override {
-    return Needs_.Log.leaderAddress();
-  }
   void prepareStop(std::function<void()> Done) override;
 
 private:
@@ -85,6 +83,8 @@
   void tellDocument(bool Any, Json::Value &Into) const;
   void document(const Json::Value &Params, const Reply &Answer);
   void workers(const Json::Value &Params, const Reply &Answer);
+  /// Of a follower: lists what the leader has shared, where that is of use.
+  bool listShared(const Json::Value &Params, Json::Value &Into) const;
   /// Divides the workers by racks once they are too many for one pool.
   void divideIfLarge();
   void sync(const Json::Value &Params, const Reply &Answer);
@@ -112,6 +112,9 @@
               std::function<void(Outcome<Json::Value>)> Done);
   void takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
                         const Acknowledge &Done);
+  /// Tells the leader again and again which workers were heard here.
+  void tellHeard();
+  void takeHeard(const Json::Value &Params, const Reply &Answer);
   void takeLeave(const WorkerId &Worker, bool Forwarded,
                  const Acknowledge &Done);
   void takeRouting(const std::string &Document, bool Forwarded,
@@ -150,7 +153,13 @@
   };
   std::map<PoolName, OwnerWord> Owners_;
   /// Of a leader: how many changes of the workers each control VM was told.
-  std::map<Endpoint, std::uint64_t> Shared_;
+  struct ShareState {
+    std::uint64_t Upto = 0;
+    /// How many there were when the list was begun.
+    std::uint64_t ListedFrom = 0;
+    bool UnderWay = false;
+  };
+  std::map<Endpoint, ShareState> Shared_;
   /// Of the others: which leader's term told them of which workers, and how
   /// many changes that covers.
   std::uint64_t SharedOf_ = 0;
@@ -159,6 +168,7 @@
   /// The division by racks is on its way into the log.
   bool Dividing_ = false;
   WorkerDirectory Directory_;
+  AnnouncementRelay Relay_;
   Routing Routing_;
   /// The version of the configuration that Routing_ was read from.
   ConfigVersion RoutingFrom_;
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -22,6 +22,10 @@
 /// How often the leader tells the others which workers there are: a new leader
 /// then knows them before they announce themselves again.
 constexpr Duration ShareInterval = std::chrono::seconds(1);
+constexpr Duration ShareTimeout = std::chrono::seconds(1);
+/// In one message: some 40 KB, which a VM with half a core writes and reads
+/// within a few milliseconds.
+constexpr std::size_t MostWorkersShared = 200;
 
 /// An entry that has not asked for so long is gone.
 constexpr Duration EntrySilence = std::chrono::seconds(60);
@@ -135,10 +139,31 @@
   Answer(std::move(Result));
 }
 
+bool JobService::listShared(const Json::Value &Params,
+                            Json::Value &Into) const {
+  bool HasSome = wire::numberOf(Params, "workers_of") == SharedOf_ &&
+                 wire::numberOf(Params, "workers_change") != 0;
+  if (SharedOf_ == 0 || wire::numberOf(Params, "lists_of") != SharedOf_ ||
+      HasSome)
+    return false;
+  Into["workers_of"] = Json::UInt64(SharedOf_);
+  Into["workers_change"] = Json::UInt64(SharedChange_);
+  Into["workers"] = Json::Value(Json::arrayValue);
+  for (const WorkerId &Id : SharedWorkers_)
+    if (auto Found = Directory_.Workers.find(Id);
+        Found != Directory_.Workers.end())
+      Into["workers"].append(write(Found->second.Info));
+  return true;
+}
+
 void JobService::workers(const Json::Value &Params, const Reply &Answer) {
-  if (!serves())
-    return Answer(redirection());
   Json::Value Result(Json::objectValue);
+  if (!serves()) {
+    Result = redirection();
+    tellEvacuations(Params, Result);
+    listShared(Params, Result);
+    return Answer(std::move(Result));
+  }
   // Who learns of workers learns at the same time which ones get no tasks.
   tellEvacuations(Params, Result);
   tellWorkers(Params, true, Result);
@@ -169,7 +194,7 @@
     return;
   }
   Into["workers_of"] = Json::UInt64(Term_->value());
-  Into["workers_change"] = Json::UInt64(Directory_.Changes);
+  Into["workers_change"] = Json::UInt64(News.Upto);
   Into["workers"] = Json::Value(Json::arrayValue);
   for (const KnownWorker *Each : News.Changed)
     Into["workers"].append(write(Each->Info));
@@ -197,34 +222,46 @@
   if (Term_) {
     auto Own = Needs_.Log.leaderAddress();
     for (const Endpoint &Member : Needs_.Log.memberAddresses())
-      if (Member != Own)
+      if (Member != Own && !Shared_[Member].UnderWay)
         shareWith(Member);
   }
   Needs_.Timers.after(ShareInterval, [this] { shareWorkers(); });
 }
 
 void JobService::shareWith(const Endpoint &Member) {
-  std::uint64_t Since = Shared_[Member];
-  DirectoryChanges News = changesSince(Directory_, Since);
+  ShareState &State = Shared_[Member];
+  if (State.Upto == 0)
+    State.ListedFrom = Directory_.Changes;
+  DirectoryChanges News = changesSince(
+      Directory_, {State.Upto, MostWorkersShared, State.ListedFrom});
   Json::Value Params(Json::objectValue);
   Params["workers_of"] = Json::UInt64(Term_->value());
-  Params["since"] = Json::UInt64(News.Whole ? 0 : Since);
-  Params["workers_change"] = Json::UInt64(Directory_.Changes);
+  if (auto Own = Needs_.Log.leaderAddress())
+    Params["leader"] = Own->text();
+  Params["since"] = Json::UInt64(News.Whole ? 0 : State.Upto);
+  Params["workers_change"] = Json::UInt64(News.Upto);
   for (const KnownWorker *Each : News.Changed)
     Params["workers"].append(write(Each->Info));
   for (const WorkerId &Each : News.Removed)
     Params["removed"].append(Each.value());
-  Needs_.Client.call(Member, wire::method::Share, std::move(Params),
-                     ShareInterval,
-                     [this, Member, Term = Term_, Upto = Directory_.Changes](
-                         const Outcome<Json::Value> &Result) {
-                       if (Term_ != Term)
-                         return;
-                       // One that did not take it is told all workers the next
-                       // time.
-                       bool Taken = Result && !wire::isSet(*Result, "behind");
-                       Shared_[Member] = Taken ? Upto : 0;
-                     });
+  State.UnderWay = true;
+  Needs_.Client.call(
+      Member, wire::method::Share, std::move(Params), ShareTimeout,
+      [this, Member, Term = Term_,
+       Upto = News.Upto](const Outcome<Json::Value> &Result) {
+        if (Term_ != Term)
+          return;
+        ShareState &Of = Shared_[Member];
+        Of.UnderWay = false;
+        // One that lacks something is told all workers anew. Without an answer
+        // the same is told again: that changes nothing.
+        if (Result && wire::isSet(*Result, "behind"))
+          Of.Upto = 0;
+        else if (Result)
+          Of.Upto = Upto;
+        if (Result && Of.Upto != 0 && Of.Upto < Directory_.Changes)
+          shareWith(Member);
+      });
 }
 
 void JobService::takeShared(const Json::Value &Params, const Reply &Answer) {
@@ -234,12 +271,21 @@
   std::uint64_t Of = wire::numberOf(Params, "workers_of");
   std::uint64_t Since = wire::numberOf(Params, "since");
   Json::Value Result(Json::objectValue);
-  if (Since != 0 && (Of != SharedOf_ || Since != SharedChange_)) {
+  // A message whose answer was lost comes again.
+  bool Follows = Of == SharedOf_ && Since <= SharedChange_;
+  if (Since != 0 && !Follows) {
     Result["behind"] = true;
     return Answer(std::move(Result));
   }
-  if (Since == 0)
+  if (Since != 0 && wire::numberOf(Params, "workers_change") < SharedChange_)
+    return Answer(std::move(Result));
+  followLeader(Relay_, Needs_.Log.leaderAddress());
+  // A leader of the past may share what the present one does not know.
+  bool FromLeader = Relay_.Leader && Params["leader"] == Relay_.Leader->text();
+  if (Since == 0) {
     SharedWorkers_.clear();
+    Relay_.Known.clear();
+  }
   SharedOf_ = Of;
   SharedChange_ = wire::numberOf(Params, "workers_change");
   Time Now = Needs_.Clock.now();
@@ -248,12 +294,15 @@
     if (!Info)
       continue;
     announce(Directory_, *Info, Now);
+    if (FromLeader)
+      noteKnown(Relay_, *Info);
     SharedWorkers_.insert(Info->Worker);
   }
   for (const Json::Value &Each : Params["removed"])
     if (Each.isString()) {
       removeWorker(Directory_, WorkerId(Each.asString()));
       SharedWorkers_.erase(WorkerId(Each.asString()));
+      noteUnknown(Relay_, WorkerId(Each.asString()));
     }
   confirmWorkers(Directory_, SharedWorkers_, Now);
   Answer(std::move(Result));
--- a/src/jobs/internal/workerdirectory.cpp
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -6,6 +6,8 @@
 
 #include "jobs/workerdirectory.h"
 
+#include <algorithm>
+
 namespace geraniumbay::jobs {
 
 bool announce(WorkerDirectory &Directory, const WorkerInfo &Info, Time Now) {
@@ -63,17 +65,28 @@
 }
 
 DirectoryChanges changesSince(const WorkerDirectory &Directory,
-                              std::uint64_t Since) {
+                              const ChangesWanted &Wanted) {
   DirectoryChanges Result;
+  Result.Upto = Directory.Changes;
+  std::uint64_t Since = Wanted.Since;
   Result.Whole = Since == 0 || (Directory.Removals.size() == MaxRemovals &&
-                                Directory.Removals.front().ChangedAt > Since);
+                                Directory.Removals.front().ChangedAt >
+                                    std::max(Since, Wanted.ListedFrom));
   for (const auto &[Id, Known] : Directory.Workers)
     if (Result.Whole || Known.ChangedAt > Since)
       Result.Changed.push_back(&Known);
+  std::sort(Result.Changed.begin(), Result.Changed.end(),
+            [](const KnownWorker *One, const KnownWorker *Other) {
+              return One->ChangedAt < Other->ChangedAt;
+            });
+  if (Result.Changed.size() > Wanted.Most) {
+    Result.Changed.resize(Wanted.Most);
+    Result.Upto = Result.Changed.back()->ChangedAt;
+  }
   if (Result.Whole)
     return Result;
   for (const RemovedWorker &Each : Directory.Removals)
-    if (Each.ChangedAt > Since)
+    if (Each.ChangedAt > Since && Each.ChangedAt <= Result.Upto)
       Result.Removed.push_back(Each.Worker);
   return Result;
 }
--- a/src/jobs/tests/controlfake.h
+++ b/src/jobs/tests/controlfake.h
@@ -12,18 +12,21 @@
 
 namespace geraniumbay::jobs {
 
-/// A log of one member, which leads.
+/// A log of one member, which leads, or of a group whose leader a test names.
 class FakeLog : public control::IReplicatedLog {
 public:
   FakeLog(ITimers &Timers, Endpoint Self)
-      : Timers_(Timers), Self_(std::move(Self)) {}
+      : Leader(Self), Members({Self}), Timers_(Timers), Self_(std::move(Self)) {
+  }
 
   std::optional<control::LeaderTerm> leadsIn() const override {
-    return control::LeaderTerm(1);
+    if (Leader != Self_)
+      return std::nullopt;
+    return LeadsIn;
   }
-  bool holdsLease() const override { return true; }
-  std::optional<Endpoint> leaderAddress() const override { return Self_; }
-  std::vector<Endpoint> memberAddresses() const override { return {Self_}; }
+  bool holdsLease() const override { return Leader == Self_; }
+  std::optional<Endpoint> leaderAddress() const override { return Leader; }
+  std::vector<Endpoint> memberAddresses() const override { return Members; }
   void append(std::string Batch,
               std::function<void(Outcome<Done>)> Done) override;
   const control::ConfigSnapshot &configuration() const override {
@@ -34,8 +37,14 @@
          std::function<void(Outcome<control::ConfigAnswer>)> Answer) override {
     Answer(Error{ErrorCode::Unavailable, "not offered here"});
   }
-  void onChanged(std::function<void()> /*Run*/) override {
-    // Nothing changes.
+  void onChanged(std::function<void()> Run) override {
+    Changed_ = std::move(Run);
+  }
+  /// \p To leads in \p Term from now on.
+  void lead(const Endpoint &To, std::uint64_t Term) {
+    Leader = To;
+    LeadsIn = control::LeaderTerm(Term);
+    Changed_();
   }
   void handOver() override {
     // There is nobody else.
@@ -44,8 +53,12 @@
 
   control::ConfigSnapshot Config;
   ReplicatedJobs Jobs;
+  std::optional<Endpoint> Leader;
+  std::vector<Endpoint> Members;
+  control::LeaderTerm LeadsIn{1};
 
 private:
+  std::function<void()> Changed_;
   ITimers &Timers_;
   const Endpoint Self_;
 };
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -11,6 +11,7 @@
 #include "framework/json/json.h"
 #include "jobs/iworkercalls.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
@@ -71,11 +72,30 @@
 struct DirectoryChanges {
   /// All workers are listed, as the removals do not reach back far enough.
   bool Whole = false;
+  /// In the order of their changes.
   std::vector<const KnownWorker *> Changed;
   std::vector<WorkerId> Removed;
+  /// The number of the last change that this covers.
+  std::uint64_t Upto = 0;
+};
+/// A list that is told in parts.
+struct ChangesWanted {
+  /// Changes that are known.
+  std::uint64_t Since = 0;
+  /// Workers in one part, those that changed first.
+  std::size_t Most = SIZE_MAX;
+  /// Removals up to this change are of no interest: none of those workers was
+  /// told of.
+  std::uint64_t ListedFrom = 0;
 };
 DirectoryChanges changesSince(const WorkerDirectory &Directory,
-                              std::uint64_t Since);
+                              const ChangesWanted &Wanted);
+inline DirectoryChanges changesSince(const WorkerDirectory &Directory,
+                                     std::uint64_t Since) {
+  ChangesWanted Wanted;
+  Wanted.Since = Since;
+  return changesSince(Directory, Wanted);
+}
 
 /// A worker that has not announced itself for so long is dropped. Workers
 /// announce every second or two; a crashed one says nothing.
