Tell entries a steady load of pools, and let hundreds of them ask less often

Cause: the use of each pool jumps by more than a sixteenth between two questions, so that each of 900 questions a second was answered with the loads of most of 150 pools: some 10 KB each, written anew for each entry. Ruled out: loads of a sample of pools only (a job's home would be missing from it). Change: owners report a smoothed use that is told anew after a step; above 120 entries the leader sets the pause between questions, 0.8 s at most.

--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -25,9 +25,6 @@
 /// What callers are told to wait while there is no leader: an election takes
 /// one to two seconds.
 constexpr Duration RetryAfterNoLeader = std::chrono::seconds(1);
-/// How often changes of the configuration and of the workers are asked for. A
-/// worker that drains must get no work two seconds after it was acknowledged.
-constexpr Duration ProbeInterval = std::chrono::milliseconds(300);
 /// The same while no leader is known, or callers wait for what it says.
 constexpr Duration SearchInterval = std::chrono::milliseconds(100);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
@@ -200,7 +197,7 @@
                  });
   }
   bool Urgent = !ready() || Exchange_.IsUrgent();
-  Timers_.after(Urgent ? SearchInterval : ProbeInterval, [this] { probe(); });
+  Timers_.after(Urgent ? SearchInterval : AskPause_, [this] { probe(); });
 }
 
 void JobGateway::probed(const Endpoint &From,
@@ -221,6 +218,10 @@
     logEvent(LogLevel::Info, Module, "leader_found", {{"leader", From.text()}});
   Leader_ = From;
   ReadyAt_ = Clock_.now();
+  Duration Pause(
+      static_cast<Duration::rep>(wire::numberOf(*Result, "ask_after_us")));
+  AskPause_ = std::clamp(Pause, scheduling::ShortestAskPause,
+                         scheduling::LongestAskPause);
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/jobgateway.h
+++ b/src/jobs/internal/jobgateway.h
@@ -11,6 +11,7 @@
 #include "framework/clock/itimers.h"
 #include "framework/rpc/irpcclient.h"
 #include "jobs/ijobgateway.h"
+#include "scheduling/askpace.h"
 
 #include <memory>
 #include <optional>
@@ -76,6 +77,8 @@
   const Sync Exchange_;
   std::optional<Endpoint> Leader_;
   std::size_t NextVm_ = 0;
+  /// The pause between questions, as the leader has told.
+  Duration AskPause_ = scheduling::ShortestAskPause;
   std::size_t ProbesUnderWay_ = 0;
   /// When a leader last said that it can serve.
   std::optional<Time> ReadyAt_;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -13,7 +13,8 @@
 //                 owned?: {POOL: REPORT}}
 //     -> {leader, ready, members, schedules, configuration?, document?,
 //         large_document?, workers_of?, workers_change?, workers?, removed?,
-//         many_workers?, evacuations?, lists_of?, entries_change?,
+//         many_workers?, evacuations?, ask_after_us?, lists_of?,
+//         entries_change?,
 //         entries?: [{at, data_centre}], by_rack?, owners_change?,
 //         owners?: {POOL: REPORT, or null where the owner is silent}}
 //     from an entry: what has changed since what it has. Only the leader tells
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -149,6 +149,7 @@
   // What an owner has not found itself may be of a job that has gone elsewhere
   // since its owner died. Its lease must come to an end.
   Lease.RenewOrphans = Loss.LetGo && Loss.Settled;
+  ToldLoad_ = SteadyPoolLoad();
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
   Scheduler_->takeWorkers(Directory_);
@@ -184,12 +185,13 @@
   return Result;
 }
 
-Json::Value PoolMember::writeReport() const {
+Json::Value PoolMember::writeReport() {
   Json::Value Result(Json::objectValue);
   Result["owner"] = View_.Owner.At.text();
   Result["token"] = Json::UInt64(View_.Owner.Token.value());
   if (Scheduler_)
-    Result["load"] = write(rounded(Scheduler_->load()));
+    Result["load"] =
+        write(steady(ToldLoad_, Scheduler_->load(), Needs_.Clock.now()));
   return Result;
 }
 
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -62,8 +62,8 @@
 
   Json::Value writeClaim() const;
   /// What entries of other data centres need: owner, token and a load that is
-  /// rounded, so that it is told anew only when it has changed by much.
-  Json::Value writeReport() const;
+  /// told anew only when it has changed by much.
+  Json::Value writeReport();
   /// Takes and returns the claim that a message of \p Speaker carries.
   OwnerClaim takeClaim(const Json::Value &From, const Endpoint &Speaker);
   /// Takes all that a peer's own message says about the pool.
@@ -105,6 +105,8 @@
   WorkerDirectory Directory_;
   const JobStore NoDurableJobs_;
   std::unique_ptr<Scheduler> Scheduler_;
+  /// The load in the owner's reports.
+  SteadyPoolLoad ToldLoad_;
   /// Since when this owner has let go for another candidate.
   std::optional<Time> LetGoAt_;
   /// Whether the scheduler knew all that runs when it ended.
--- a/src/jobs/internal/pools.cpp
+++ b/src/jobs/internal/pools.cpp
@@ -9,6 +9,7 @@
 #include "jobs/internal/jobmessages.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumbay::jobs {
 
@@ -76,14 +77,24 @@
   return Wait;
 }
 
-PoolLoad rounded(const PoolLoad &Load) {
-  constexpr std::uint64_t StepsOfUse = 16;
+PoolLoad steady(SteadyPoolLoad &State, const PoolLoad &Load, Time Now) {
+  constexpr double StepOfUse = 1.0 / 16;
   constexpr Duration StepOfBacklog = std::chrono::milliseconds(20);
   PoolLoad Result = Load;
-  std::uint64_t Step = std::max<std::uint64_t>(Load.Capacity / StepsOfUse, 1);
-  Result.Used = Load.Used / Step * Step;
-  for (Duration &Each : Result.Backlog)
-    Each = Each / StepOfBacklog * StepOfBacklog;
+  if (Load.Capacity == 0)
+    return Result;
+  auto Capacity = static_cast<double>(Load.Capacity);
+  scheduling::observe(State.Use, static_cast<double>(Load.Used) / Capacity,
+                      Now);
+  Result.Used = static_cast<std::uint64_t>(
+      std::lround(scheduling::tell(State.Use, StepOfUse) * Capacity));
+  for (std::size_t Class = 0; Class < Load.Backlog.size(); ++Class) {
+    scheduling::observe(State.Backlog[Class],
+                        static_cast<double>(Load.Backlog[Class].count()), Now);
+    Result.Backlog[Class] =
+        Duration(static_cast<Duration::rep>(scheduling::tell(
+            State.Backlog[Class], static_cast<double>(StepOfBacklog.count()))));
+  }
   return Result;
 }
 
--- a/src/jobs/internal/pools.h
+++ b/src/jobs/internal/pools.h
@@ -15,6 +15,7 @@
 #include "framework/net/endpoint.h"
 #include "jobs/workerdirectory.h"
 #include "scheduling/arrivals.h"
+#include "scheduling/steadyload.h"
 
 namespace geraniumbay::jobs {
 
@@ -68,8 +69,15 @@
 Duration expectedWait(const PoolLoad &Load, std::uint32_t Priority,
                       std::uint64_t Cores);
 
-/// The load in steps that matter for a choice between pools.
-PoolLoad rounded(const PoolLoad &Load);
+/// A pool's load as it is told to all entries.
+struct SteadyPoolLoad {
+  scheduling::SteadyValue Use;
+  std::array<scheduling::SteadyValue, scheduling::PriorityClasses> Backlog;
+};
+
+/// Takes the load of now and returns the one to tell, which changes by steps
+/// that matter for a choice between pools.
+PoolLoad steady(SteadyPoolLoad &State, const PoolLoad &Load, Time Now);
 
 Json::Value write(const PoolLoad &Value);
 /// Fields that are missing are zero.
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -11,6 +11,7 @@
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobservice.h"
 #include "jobs/internal/jobwire.h"
+#include "scheduling/askpace.h"
 
 #include <algorithm>
 
@@ -81,6 +82,8 @@
   if (Now - LeadsSince_ >= EntriesDelay)
     tellEntries(Params, Into);
   Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
+  Into["ask_after_us"] =
+      Json::Int64(scheduling::askPause(Entries_.size()).count());
   tellOwners(Params, Into);
   tellWorkers(Params, false, Into);
 }
