Join small racks into pools of about forty workers

Each job asks a registrar unless it goes to its home among them, owners and entries ping each other by pools, and a wide job or a task of half a worker finds less room in a small pool. Ruled out: one pool a data centre (an entry of an eighth of a core cannot order 800 starts a second); groups that each entry works out itself (entries that know different workers would disagree on a worker's pool). Change: when the workers are divided, the leader joins the racks of a data centre into even groups and records them; racks that come later are pools of their own. Entries hear of no workers until then. Within a pool a task goes to the rack of its data if there is room. LargeGroupProperties plays 60 workers a data centre in place of 52, so that it has four pools as before.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -134,6 +134,9 @@
   std::vector<PoolMember *> poolsToWeigh(const Job &Wanted,
                                          const std::set<PoolName> &Without,
                                          PoolMember *Home) const;
+  /// What a task loses away from the rack that holds its data: it takes about
+  /// twice as long there.
+  Duration lossAwayFromData(const Job &Wanted, const PoolMember &In) const;
   /// Whether the pool's workers are all in an evacuated data centre.
   bool isEvacuated(const PoolMember &In) const;
   bool areAllEvacuated() const;
@@ -197,6 +200,7 @@
   Routing Routing_;
   ConfigVersion RoutingFrom_;
   PoolPlan Plan_ = PoolPlan::One;
+  RackGroups Groups_;
   /// Which list of workers this entry has: of which leader's term, and how many
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -8,6 +8,7 @@
 #include "jobs/internal/entryjobs.h"
 #include "jobs/internal/evacuationwire.h"
 #include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
 
 #include <algorithm>
 
@@ -45,6 +46,8 @@
   Params["entry"] = Self_.text();
   Params["data_centre"] = DataCentre_.value();
   Params["configuration"] = Json::UInt64(RoutingFrom_.value());
+  if (Plan_ == PoolPlan::ByRack)
+    Params["by_rack"] = true;
   Params["workers_of"] = Json::UInt64(WorkersOf_);
   Params["workers_change"] = Json::UInt64(WorkersChange_);
   Params["lists_of"] = Json::UInt64(ListsOf_);
@@ -138,6 +141,14 @@
 void EntryJobs::takePlan(const Json::Value &Result) {
   if (!wire::isSet(Result, "by_rack") || Plan_ == PoolPlan::ByRack)
     return;
+  if (Result.isMember("rack_groups")) {
+    auto Told =
+        attempt([&] { return wire::readGroups(Result["rack_groups"]); });
+    if (!Told)
+      return logEvent(LogLevel::Error, Module, "rack_groups_unreadable",
+                      {{"reason", Told.error().Message}});
+    Groups_ = std::move(*Told);
+  }
   logEvent(LogLevel::Info, Module, "pools_by_rack",
            {{"workers", WorkerPools_.size()}});
   Plan_ = PoolPlan::ByRack;
@@ -147,7 +158,7 @@
   Pools_.clear();
   for (const auto &[Name, Old] : Gone)
     for (const auto &[Id, Known] : Old->directory().Workers) {
-      PoolName New = poolOf(Plan_, Known.Info);
+      PoolName New = poolOf(Plan_, Groups_, Known.Info);
       announce(memberOf(New, Known.Info.DataCentre).directory(), Known.Info,
                Known.Heard);
       WorkerPools_[Id] = New;
@@ -217,7 +228,7 @@
     auto Info = attempt([&] { return readWorker(Each); });
     if (!Info)
       continue;
-    PoolName Name = poolOf(Plan_, *Info);
+    PoolName Name = poolOf(Plan_, Groups_, *Info);
     PoolMember &In = memberOf(Name, Info->DataCentre);
     announce(In.directory(), *Info, Now);
     WorkerPools_[Info->Worker] = Name;
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -85,6 +85,9 @@
   void workers(const Json::Value &Params, const Reply &Answer);
   /// Of a follower: lists what the leader has shared, where that is of use.
   bool listShared(const Json::Value &Params, Json::Value &Into) const;
+  /// Whether the workers are too many for one pool. Until they are divided
+  /// entries hear of none: one entry cannot hold thousands.
+  bool isToBeDivided() const;
   /// Divides the workers by racks once they are too many for one pool.
   void divideIfLarge();
   void sync(const Json::Value &Params, const Reply &Answer);
@@ -167,6 +170,11 @@
   std::set<WorkerId> SharedWorkers_;
   /// The division by racks is on its way into the log.
   bool Dividing_ = false;
+  /// How many workers there were when that number changed last.
+  std::size_t WorkersCounted_ = 0;
+  Time WorkersCountedAt_;
+  /// Since when they have been too many for one pool.
+  std::optional<Time> TooManySince_;
   WorkerDirectory Directory_;
   AnnouncementRelay Relay_;
   Routing Routing_;
--- a/src/jobs/internal/jobstore.cpp
+++ b/src/jobs/internal/jobstore.cpp
@@ -106,8 +106,10 @@
     Store.Jobs.erase(Id);
   for (const EvacuationOrder &Each : Changes.Evacuations)
     apply(Store.Evacuated, Each);
-  if (Changes.DividesByRacks)
+  if (Changes.DividesByRacks && Store.Plan != PoolPlan::ByRack) {
     Store.Plan = PoolPlan::ByRack;
+    Store.Groups = Changes.Groups;
+  }
 }
 
 const Job *findJob(const JobStore &Store, const JobId &Id) {
--- a/src/jobs/internal/jobwire.cpp
+++ b/src/jobs/internal/jobwire.cpp
@@ -295,6 +295,13 @@
   return Result;
 }
 
+/// Missing groups are none.
+RetVal<RackGroups> readGroupsOf(const Json::Value &From) {
+  if (!From.isMember("rack_groups"))
+    return RackGroups();
+  return readGroups(From["rack_groups"]);
+}
+
 RetVal<JobId> readId(const Json::Value &From) {
   if (!From.isString())
     return fail(ErrorCode::InvalidArgument, "the id of a job is no text");
@@ -323,6 +330,30 @@
   return Result;
 }
 
+Json::Value write(const RackGroups &Value) {
+  Json::Value Result(Json::objectValue);
+  for (const auto &[DataCentre, Racks] : Value)
+    for (const auto &[Rack, Group] : Racks)
+      Result[DataCentre.value()][Rack] = Group;
+  return Result;
+}
+
+RetVal<RackGroups> readGroups(const Json::Value &From) {
+  RackGroups Result;
+  if (!From.isObject())
+    return fail(ErrorCode::InvalidArgument, "groups of racks are no object");
+  for (const std::string &DataCentre : From.getMemberNames()) {
+    const Json::Value &Racks = From[DataCentre];
+    if (!Racks.isObject())
+      return fail(ErrorCode::InvalidArgument, "groups of racks are no object");
+    for (const std::string &Rack : Racks.getMemberNames()) {
+      BOOST_LEAF_AUTO(Group, json::readString(Racks, Rack.c_str()));
+      Result[DataCentreId(DataCentre)][Rack] = Group;
+    }
+  }
+  return Result;
+}
+
 std::string writeChanges(const JobChanges &Value) {
   Json::Value Result(Json::objectValue);
   for (const Job &Each : Value.Accepted)
@@ -339,6 +370,8 @@
     Result["evacuations"].append(write(Each));
   if (Value.DividesByRacks)
     Result["divides_by_racks"] = true;
+  if (!Value.Groups.empty())
+    Result["rack_groups"] = write(Value.Groups);
   return json::write(Result);
 }
 
@@ -357,6 +390,7 @@
       readList<EvacuationOrder>(From, "evacuations", readEvacuationOrder));
   BOOST_LEAF_ASSIGN(Result.DividesByRacks,
                     json::readBoolOr(From, "divides_by_racks", false));
+  BOOST_LEAF_ASSIGN(Result.Groups, readGroupsOf(From));
   return Result;
 }
 
@@ -368,6 +402,8 @@
     Stored["tasks"] = writeTasks(Each);
   }
   Result["by_rack"] = Value.Plan == PoolPlan::ByRack;
+  if (!Value.Groups.empty())
+    Result["rack_groups"] = write(Value.Groups);
   if (Value.Evacuated.Last != EvacuationNumber(0))
     Result["evacuations"] = write(Value.Evacuated);
   return json::write(Result);
@@ -379,6 +415,7 @@
   BOOST_LEAF_AUTO(ByRack, json::readBoolOr(From, "by_rack", false));
   JobStore Result;
   Result.Plan = ByRack ? PoolPlan::ByRack : PoolPlan::One;
+  BOOST_LEAF_ASSIGN(Result.Groups, readGroupsOf(From));
   if (From.isMember("evacuations")) {
     BOOST_LEAF_ASSIGN(Result.Evacuated, readEvacuations(From["evacuations"]));
   }
--- a/src/jobs/internal/jobwire.h
+++ b/src/jobs/internal/jobwire.h
@@ -21,6 +21,9 @@
 Json::Value write(const Job &Value);
 RetVal<Job> readJob(const Json::Value &From);
 
+Json::Value write(const RackGroups &Value);
+RetVal<RackGroups> readGroups(const Json::Value &From);
+
 std::string writeChanges(const JobChanges &Value);
 RetVal<JobChanges> readChanges(const std::string &Text);
 
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -43,6 +43,11 @@
   return Count;
 }
 
+/// Away from the rack that holds its data a task takes longer.
+bool isNearData(const WorkerSession &On, const StepSpec &Step) {
+  return Step.PreferredRack.empty() || On.Info.Rack == Step.PreferredRack;
+}
+
 bool suits(const WorkerSession &On, const StepSpec &Step, const TaskId &Id) {
   if (!carries(On.Info, Step.RequiredLabel))
     return false;
@@ -117,6 +122,7 @@
   WorkerSession *Best = nullptr;
   WorkerSession *Again = nullptr;
   std::uint32_t LeastLeft = UINT32_MAX;
+  bool BestIsNear = false;
   bool Suspected = isSuspected(Task.Id);
   if (Suspected && !mayHostMoreSuspects())
     return nullptr;
@@ -139,9 +145,11 @@
     }
     std::uint32_t Left = Each.Info.Capacity.CpuMillis - Each.Used.CpuMillis -
                          Task.Needs.CpuMillis;
-    if (Best && Left >= LeastLeft)
+    bool IsNear = isNearData(Each, Step);
+    if (Best && (BestIsNear != IsNear ? BestIsNear : Left >= LeastLeft))
       continue;
     Best = &Each;
+    BestIsNear = IsNear;
     LeastLeft = Left;
   }
   return Best ? Best : Again;
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -39,20 +39,18 @@
   return Wanted.Spec.Steps.front();
 }
 
-/// What a task loses away from the rack that holds its data: it takes about
-/// twice as long there.
-Duration lossAwayFromData(const Job &Wanted, const PoolMember &In) {
+} // namespace
+
+Duration EntryJobs::lossAwayFromData(const Job &Wanted,
+                                     const PoolMember &In) const {
   const StepSpec &Step = firstStep(Wanted);
   if (Step.PreferredRack.empty())
     return Duration(0);
-  const std::string &Name = In.name().value();
-  bool Holds = Name.size() > Step.PreferredRack.size() &&
-               Name.ends_with("/" + Step.PreferredRack);
+  bool Holds =
+      poolOfRack(Groups_, In.dataCentre(), Step.PreferredRack) == In.name();
   return Holds ? Duration(0) : Step.Estimate;
 }
 
-} // namespace
-
 std::vector<PoolMember *>
 EntryJobs::poolsToWeigh(const Job &Wanted, const std::set<PoolName> &Without,
                         PoolMember *Home) const {
--- a/src/jobs/internal/pools.cpp
+++ b/src/jobs/internal/pools.cpp
@@ -28,10 +28,20 @@
   return All;
 }
 
-PoolName poolOf(PoolPlan Plan, const WorkerInfo &Worker) {
+PoolName poolOfRack(const RackGroups &Groups, const DataCentreId &DataCentre,
+                    const std::string &Rack) {
+  const std::string *Group = &Rack;
+  if (auto Racks = Groups.find(DataCentre); Racks != Groups.end())
+    if (auto Found = Racks->second.find(Rack); Found != Racks->second.end())
+      Group = &Found->second;
+  return PoolName(DataCentre.value() + "/" + *Group);
+}
+
+PoolName poolOf(PoolPlan Plan, const RackGroups &Groups,
+                const WorkerInfo &Worker) {
   if (Plan == PoolPlan::One)
     return poolOfAll();
-  return PoolName(Worker.DataCentre.value() + "/" + Worker.Rack);
+  return poolOfRack(Groups, Worker.DataCentre, Worker.Rack);
 }
 
 std::vector<Endpoint> candidatesFor(PoolPlan Plan,
--- a/src/jobs/internal/pools.h
+++ b/src/jobs/internal/pools.h
@@ -3,9 +3,9 @@
 // A pool is a set of workers that one entry schedules. A small deployment has
 // one pool of all workers, so that no slot idles while a task waits. One entry
 // cannot schedule hundreds of workers (0.39 cores at 350 workers and 3,300
-// starts a second, measured at 195 us a task), so a large deployment has one
-// pool a rack: a data centre that is cut off keeps its owners, and a task finds
-// the rack that holds its data in one pool.
+// starts a second, measured at 195 us a task), so a large deployment has pools
+// of some racks of one data centre: one that is cut off keeps its owners, and a
+// task finds the rack that holds its data in one pool.
 //
 //===----------------------------------------------------------------------===//
 
@@ -28,7 +28,11 @@
 /// The pool of all workers.
 const PoolName &poolOfAll();
 
-PoolName poolOf(PoolPlan Plan, const WorkerInfo &Worker);
+/// The pool of a rack where the workers are divided.
+PoolName poolOfRack(const RackGroups &Groups, const DataCentreId &DataCentre,
+                    const std::string &Rack);
+PoolName poolOf(PoolPlan Plan, const RackGroups &Groups,
+                const WorkerInfo &Worker);
 
 /// An entry and where it is.
 struct EntryPlace {
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -12,6 +12,7 @@
 #include "jobs/internal/jobservice.h"
 #include "jobs/internal/jobwire.h"
 #include "scheduling/askpace.h"
+#include "scheduling/poolsize.h"
 
 #include <algorithm>
 
@@ -42,6 +43,23 @@
 constexpr std::size_t MaxDocumentInSync = std::size_t{16} << 10U;
 constexpr std::size_t MaxWorkersInSync = 50;
 
+/// Workers announce themselves within two seconds of their start; when none has
+/// come for so long, all have.
+constexpr Duration WorkersSettle = std::chrono::milliseconds(800);
+/// Where workers come and go all the time nothing is waited for any longer.
+constexpr Duration LongestSettling = std::chrono::seconds(3);
+
+RackGroups groupAllRacks(const WorkerDirectory &Directory) {
+  std::map<DataCentreId, std::map<std::string, std::size_t>> Racks;
+  for (const auto &[Id, Known] : Directory.Workers)
+    ++Racks[Known.Info.DataCentre][Known.Info.Rack];
+  RackGroups Result;
+  for (const auto &[DataCentre, Sizes] : Racks)
+    Result[DataCentre] =
+        scheduling::groupRacks(Sizes, scheduling::WorkersOfAPool);
+  return Result;
+}
+
 } // namespace
 
 void JobService::sync(const Json::Value &Params, const Reply &Answer) {
@@ -82,6 +100,8 @@
   if (Now - LeadsSince_ >= EntriesDelay)
     tellEntries(Params, Into);
   Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
+  if (!wire::isSet(Params, "by_rack") && !Needs_.Store.Groups.empty())
+    Into["rack_groups"] = wire::write(Needs_.Store.Groups);
   Into["ask_after_us"] =
       Json::Int64(scheduling::askPause(Entries_.size()).count());
   tellOwners(Params, Into);
@@ -189,7 +209,7 @@
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
   bool SameTerm = Of && Change && *Of == Term_->value();
-  if (SameTerm && *Change == Directory_.Changes)
+  if ((SameTerm && *Change == Directory_.Changes) || isToBeDivided())
     return;
   DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
   if (!Any && News.Changed.size() > MaxWorkersInSync) {
@@ -205,13 +225,29 @@
     Into["removed"].append(Each.value());
 }
 
+bool JobService::isToBeDivided() const {
+  return Needs_.Store.Plan == PoolPlan::One &&
+         Directory_.Workers.size() > MaxWorkersOfOnePool;
+}
+
 void JobService::divideIfLarge() {
-  if (!serves() || Dividing_ || Needs_.Store.Plan == PoolPlan::ByRack ||
-      Directory_.Workers.size() <= MaxWorkersOfOnePool)
+  if (!serves() || Dividing_ || !isToBeDivided())
+    return;
+  // The racks are joined by their sizes, so all workers should be there.
+  Time Now = Needs_.Clock.now();
+  if (WorkersCounted_ != Directory_.Workers.size()) {
+    WorkersCounted_ = Directory_.Workers.size();
+    WorkersCountedAt_ = Now;
+  }
+  if (!TooManySince_)
+    TooManySince_ = Now;
+  bool Settled = Now - WorkersCountedAt_ >= WorkersSettle;
+  if (!Settled && Now - *TooManySince_ < LongestSettling)
     return;
   Dividing_ = true;
   JobChanges Changes;
   Changes.DividesByRacks = true;
+  Changes.Groups = groupAllRacks(Directory_);
   Needs_.Log.append(wire::writeChanges(Changes), [this](
                                                      const Outcome<Done> &Was) {
     Dividing_ = false;
--- a/src/jobs/jobstore.h
+++ b/src/jobs/jobstore.h
@@ -20,6 +20,7 @@
   std::unordered_map<JobId, Job> Jobs;
   Evacuations Evacuated;
   PoolPlan Plan = PoolPlan::One;
+  RackGroups Groups;
 };
 
 /// Applies committed changes. A change that comes again, or comes for a job
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -172,9 +172,13 @@
 /// How the workers are divided among the entries that schedule.
 enum class PoolPlan {
   One,    ///< One pool of all workers.
-  ByRack, ///< A pool for each rack of each data centre.
+  ByRack, ///< A pool for each rack, or group of racks, of each data centre.
 };
 
+/// The group of each rack, by data centre. A rack without one, as one that has
+/// come since the workers were divided, is a group of its own.
+using RackGroups = std::map<DataCentreId, std::map<std::string, std::string>>;
+
 /// A batch of changes, as one entry of the log.
 struct JobChanges {
   std::vector<Job> Accepted;
@@ -183,8 +187,9 @@
   std::vector<JobId> Cancelled;
   std::vector<JobId> Forgotten;
   std::vector<EvacuationOrder> Evacuations;
-  /// From now on the workers are divided by racks, for good.
+  /// From now on the workers are divided by racks, for good, into these groups.
   bool DividesByRacks = false;
+  RackGroups Groups;
 
   bool empty() const {
     return Accepted.empty() && Ended.empty() && Lost.empty() &&
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -184,13 +184,17 @@
 
 std::shared_ptr<Submitted> EntryFake::submit(std::size_t Entry,
                                              const std::string &Job,
-                                             std::uint32_t Tasks, bool Stored) {
+                                             std::uint32_t Tasks, bool Stored,
+                                             const std::string &PreferredRack) {
   JobSpec Spec;
   Spec.Transient = !Stored;
   Spec.Payload = "payload";
   StepSpec Step;
   Step.Count = Tasks;
   Step.Needs.CpuMillis = 1000;
+  Step.PreferredRack = PreferredRack;
+  if (!PreferredRack.empty())
+    Step.Estimate = Workers.TaskTime;
   Spec.Steps.push_back(Step);
   auto Result = std::make_shared<Submitted>();
   Result->Abandon = Entries[Entry].Jobs->submit(
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -103,7 +103,8 @@
   void settleByRack();
   std::shared_ptr<Submitted> submit(std::size_t Entry, const std::string &Job,
                                     std::uint32_t Tasks = 2,
-                                    bool Stored = false);
+                                    bool Stored = false,
+                                    const std::string &PreferredRack = "");
   /// Ends the process; start() brings it back without what it knew.
   void crash(std::size_t Entry);
   void start(std::size_t Entry);
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -139,6 +139,7 @@
   ++Starts;
   ++StartsIn[At.Info.DataCentre];
   LastStartIn[At.Info.DataCentre] = Clock_.now();
+  ++StartsOn[At.Info.Worker];
   std::uint64_t Serial = ++LastSerial_;
   if (CrashingJobs.count(Order.Task.Job) != 0) {
     ++StartsOfCrashing[Order.Task];
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -59,6 +59,7 @@
   std::uint64_t Starts = 0;
   std::map<DataCentreId, std::uint64_t> StartsIn;
   std::map<DataCentreId, Time> LastStartIn;
+  std::map<WorkerId, std::uint64_t> StartsOn;
   std::uint64_t StartsOnBroken = 0;
   std::uint64_t RoomRefusals = 0;
   /// By task of a crashing job.
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -42,6 +42,39 @@
   EXPECT_TRUE(Fake.Workers.Doubled.empty());
 }
 
+// Twelve racks of ten workers in each data centre: three pools there.
+TEST(JobServiceTest, SmallRacksShareAPool) {
+  EntryFake Fake(4, 120);
+  for (std::size_t I = 0; I < Fake.announcements().size(); ++I)
+    Fake.announcements()[I].Rack = "r" + std::to_string(I % 12);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  EXPECT_EQ(Fake.owners().size(), 6U);
+  EXPECT_TRUE(allServe(Fake));
+}
+
+// A task finds the rack of its data within its pool, and another one where that
+// is full.
+TEST(JobServiceTest, ATaskGoesToTheRackOfItsData) {
+  EntryFake Fake(4, 60);
+  for (std::size_t I = 0; I < Fake.announcements().size(); ++I)
+    Fake.announcements()[I].Rack = "r" + std::to_string(I % 6);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  constexpr std::uint32_t RoomOfTheRack = 2 * 10 * 2;
+  auto Near = Fake.submit(0, "near", 8, false, "r3");
+  Fake.run(1s);
+  EXPECT_TRUE(served(Near));
+  std::uint64_t OnRack = 0;
+  for (const WorkerInfo &Each : Fake.announced())
+    if (Each.Rack == "r3")
+      OnRack += Fake.Workers.StartsOn[Each.Worker];
+  EXPECT_EQ(OnRack, 8U);
+  auto Wide = Fake.submit(0, "wide", RoomOfTheRack + 4, false, "r3");
+  Fake.run(2s);
+  EXPECT_TRUE(served(Wide));
+}
+
 // The ends of a job's tasks come one after the other, and each is on its way
 // through the log while the next ones come.
 TEST(JobServiceTest, AStoredJobStartsEachTaskOnce) {
--- a/src/jobs/tests/largegrouptest.cpp
+++ b/src/jobs/tests/largegrouptest.cpp
@@ -87,7 +87,7 @@
 RC_GTEST_PROP(LargeGroupProperties, NoTaskRunsTwiceAtATime,
               (std::uint64_t Seed)) {
   Random Rng(Seed);
-  EntryFake Fake(10, 52, Rng.bits());
+  EntryFake Fake(10, 60, Rng.bits());
   ControlFake Control(Fake, "document");
   Fake.run(4s);
   std::set<std::size_t> Lost;
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -27,8 +27,15 @@
   WorkerInfo Info;
   Info.DataCentre = DataCentreId("north");
   Info.Rack = "r1";
-  EXPECT_EQ(poolOf(PoolPlan::One, Info), poolOfAll());
-  EXPECT_EQ(poolOf(PoolPlan::ByRack, Info), PoolName("north/r1"));
+  EXPECT_EQ(poolOf(PoolPlan::One, {}, Info), poolOfAll());
+  EXPECT_EQ(poolOf(PoolPlan::ByRack, {}, Info), PoolName("north/r1"));
+  RackGroups Groups{{DataCentreId("north"), {{"r1", "r0"}, {"r0", "r0"}}}};
+  EXPECT_EQ(poolOf(PoolPlan::ByRack, Groups, Info), PoolName("north/r0"));
+  Info.Rack = "r2";
+  EXPECT_EQ(poolOf(PoolPlan::ByRack, Groups, Info), PoolName("north/r2"));
+  Info.DataCentre = DataCentreId("south");
+  Info.Rack = "r1";
+  EXPECT_EQ(poolOf(PoolPlan::ByRack, Groups, Info), PoolName("south/r1"));
 }
 
 TEST(PoolsTest, PoolsBeginAtDifferentCandidatesAndBusyOnesComeLast) {
--- /dev/null
+++ b/src/scheduling/poolsize.cpp
@@ -0,0 +1,59 @@
+//===- poolsize.cpp - Which racks share a pool ----------------------------===//
+//
+// The largest rack goes to the group with the fewest workers, and so on.
+//
+//===----------------------------------------------------------------------===//
+
+#include "scheduling/poolsize.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace geraniumbay::scheduling {
+
+namespace {
+
+struct Group {
+  std::size_t Workers = 0;
+  std::vector<std::string> Racks;
+};
+
+std::vector<std::pair<std::size_t, std::string>>
+largestFirst(const std::map<std::string, std::size_t> &Racks) {
+  std::vector<std::pair<std::size_t, std::string>> Result;
+  for (const auto &[Rack, Workers] : Racks)
+    Result.emplace_back(Workers, Rack);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const auto &One, const auto &Other) {
+                     return One.first > Other.first;
+                   });
+  return Result;
+}
+
+} // namespace
+
+std::map<std::string, std::string>
+groupRacks(const std::map<std::string, std::size_t> &Racks,
+           std::size_t Target) {
+  std::size_t Workers = 0;
+  for (const auto &[Rack, Count] : Racks)
+    Workers += Count;
+  std::size_t Wanted = (Workers + Target / 2) / Target;
+  std::vector<Group> Groups(std::clamp<std::size_t>(
+      Wanted, 1, std::max<std::size_t>(Racks.size(), 1)));
+  for (const auto &[Count, Rack] : largestFirst(Racks)) {
+    Group &Least = *std::min_element(Groups.begin(), Groups.end(),
+                                     [](const Group &One, const Group &Other) {
+                                       return One.Workers < Other.Workers;
+                                     });
+    Least.Workers += Count;
+    Least.Racks.push_back(Rack);
+  }
+  std::map<std::string, std::string> Result;
+  for (const Group &Each : Groups)
+    for (const std::string &Rack : Each.Racks)
+      Result[Rack] = *std::min_element(Each.Racks.begin(), Each.Racks.end());
+  return Result;
+}
+
+} // namespace geraniumbay::scheduling
