--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,8 @@
 and the processes themselves send to each of them. Faults come from outside, in
 series that overlap: links that are delayed, silenced, cut one way or reset;
 processes that are stopped, paused, killed and restarted; disks that are
-emptied; configurations that follow each other. While it runs, and at the end,
+emptied; configurations that follow each other; data centres that are
+evacuated. While it runs, and at the end,
 the promises are checked from what callers and workers see.
 
     python3 soak.py --seed 7 --seconds 20
@@ -36,6 +37,10 @@
 DRAIN_SECONDS = 2.0
 # A configuration is in force this long after it was acknowledged.
 APPLY_SECONDS = 2.0
+# Nothing starts in a data centre this long after its evacuation was
+# acknowledged.
+EVACUATE_SECONDS = 5.0
+DATA_CENTRES = ("barracas", "pompeya")
 # Service must be back this long after the last fault has ended.
 RECOVERY_SECONDS = 20
 
@@ -240,6 +245,40 @@
             )
 
 
+class Evacuations(threading.Thread):
+    """Evacuates a data centre and takes it back, again and again; each order is
+    given until it is acknowledged or the next one is due."""
+
+    def __init__(self, fleet, ledger, seed, until):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.ledger = ledger
+        self.random = random.Random(seed * 1000 + 998)
+        self.until = until
+
+    def run(self):
+        while time.monotonic() < self.until:
+            where = self.random.choice(DATA_CENTRES)
+            self.order(where, "POST", 1.0)
+            time.sleep(self.random.random() * 1.5)
+            # It may not have been acknowledged; the end is ordered all the same.
+            self.order(where, "DELETE", 3.0)
+            time.sleep(self.random.random() * 3)
+
+    def order(self, where, method, seconds):
+        due = time.monotonic() + seconds
+        while time.monotonic() < due:
+            address = self.random.choice(self.fleet.controls())
+            status, _ = standin.request(
+                address, method, f"/evacuations/{where}", timeout=1
+            )
+            if status == 200:
+                return
+            if status is not None and status < 500:
+                self.ledger.breaks("evacuation", f"{method} {where}: {status}")
+            time.sleep(0.1)
+
+
 class Faults:
     """Draws faults and ends each after a while; they overlap."""
 
@@ -423,8 +462,32 @@
         return {task.split(".")[0] for task in fleet.places}
 
 
+def check_evacuation(fleet, ledger):
+    """After all that has happened an order is obeyed, and so is its end."""
+    where = DATA_CENTRES[0]
+    there = [w for w in fleet.workers if w.data_centre == where]
+    try:
+        if fleet.evacuate(where) != 200:
+            ledger.breaks("evacuation", "the last order was refused")
+        time.sleep(EVACUATE_SECONDS)
+        before = [dict(worker.highest) for worker in there]
+        for number in range(10):
+            fleet.job(number % len(fleet.entries), f"eeee{number:012x}", wait=4)
+        if before != [dict(worker.highest) for worker in there]:
+            ledger.breaks("evacuation", f"a task was started in {where}")
+        if fleet.evacuate(where, end=True) != 200:
+            ledger.breaks("evacuation", "its end was refused")
+    except AssertionError as failure:
+        ledger.breaks("evacuation", str(failure))
+
+
 def check_end(fleet, ledger):
     """Service is back, and what was accepted is known and ends."""
+    for where in DATA_CENTRES:
+        try:
+            fleet.evacuate(where, end=True)
+        except AssertionError as failure:
+            ledger.breaks("evacuation", str(failure))
 
     def all_serve():
         count = next(serial)
@@ -454,6 +517,7 @@
             ledger.breaks("lost", f"{job}: {states[-1]}")
         if states[-1][0] == 410:
             ledger.breaks("lost", f"{job} is not known")
+    check_evacuation(fleet, ledger)
     for job in sorted(ledger.refused & started_jobs(fleet)):
         ledger.breaks("not run", f"{job} was refused and has run")
     for task, holders, worker in fleet.doubled:
@@ -473,6 +537,7 @@
             for i in range(2 * args.entries)
         ]
         threads.append(ConfigWatch(fleet, ledger, seed, until))
+        threads.append(Evacuations(fleet, ledger, seed, until))
         for thread in threads:
             thread.start()
         while time.monotonic() < until:
