Pass news of workers on together, and send workers to followers

Ruled out: redirecting from followers (they do not know who is alive). Change: a follower passes on in one message what has come while the last one was under way; the leader names a follower that has answered it lately as the address of a worker's next announcements, chosen by rendezvous hashing. Conclusion: AnnouncementTest, both new cases fail without the change.

--- a/src/jobs/ijobcontrol.h
+++ b/src/jobs/ijobcontrol.h
@@ -24,6 +24,11 @@
   virtual void announceWorker(const WorkerInfo &Info, Acknowledge Done) = 0;
   virtual void workerLeaves(const WorkerId &Worker, Acknowledge Done) = 0;
 
+  /// The peer address of the control VM at which \p Worker should announce
+  /// itself from now on; nothing if that is this one. The leader, which has the
+  /// most to do, sends workers to the others.
+  virtual std::optional<Endpoint> announceAt(const WorkerId &Worker) const = 0;
+
   /// Puts a document in force. One whose version is not higher than that in
   /// force is acknowledged and changes nothing. InvalidArgument: it is refused.
   virtual void putRouting(const std::string &Document, Acknowledge Done) = 0;
--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -15,6 +15,8 @@
 constexpr const char *Module = "jobs";
 /// Workers and operators ask another control VM after a second.
 constexpr Duration PassOnTimeout = std::chrono::milliseconds(900);
+/// A follower that has not answered for so long gets no workers.
+constexpr Duration MemberSilence = std::chrono::seconds(2);
 /// Another operator's change may come first this often.
 constexpr int MaxTries = 8;
 
@@ -39,11 +41,6 @@
 }
 
 void JobService::announceWorker(const WorkerInfo &Info, Acknowledge Done) {
-  takeAnnouncement(Info, false, Done);
-}
-
-void JobService::takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
-                                  const Acknowledge &Done) {
   if (serves()) {
     std::uint64_t Before = Directory_.Changes;
     announce(Directory_, Info, Needs_.Clock.now());
@@ -52,25 +49,76 @@
     return Done(geraniumbay::Done{});
   }
   followLeader(Relay_, Needs_.Log.leaderAddress());
-  if (!Forwarded && Relay_.Leader && !isNews(Relay_, Info)) {
+  if (Relay_.Leader && !isNews(Relay_, Info)) {
     announce(Directory_, Info, Needs_.Clock.now());
     Relay_.Heard.insert(Info.Worker);
     return Done(geraniumbay::Done{});
   }
+  News_.push_back({Info, std::move(Done)});
+  passNewsOn();
+}
+
+void JobService::takeNews(const Json::Value &Params, const Reply &Answer) {
+  if (!serves())
+    return Answer(Error{ErrorCode::Unavailable, "not the leader"});
+  auto Workers = attempt([&] { return json::readArray(Params, "workers"); });
+  if (!Workers)
+    return Answer(Workers.error());
+  for (const Json::Value &Each : *Workers) {
+    auto Info = attempt([&] { return readWorker(Each); });
+    if (!Info)
+      return Answer(Info.error());
+    announce(Directory_, *Info, Needs_.Clock.now());
+  }
+  if (Scheduler_)
+    Scheduler_->takeWorkers(Directory_);
+  Answer(Json::Value(Json::objectValue));
+}
+
+void JobService::passNewsOn() {
+  if (NewsUnderWay_ || News_.empty())
+    return;
+  NewsUnderWay_ = true;
+  std::vector<PieceOfNews> All = std::exchange(News_, {});
   Json::Value Params(Json::objectValue);
-  Params["worker"] = write(Info);
-  passOn(wire::method::Announce, std::move(Params), Forwarded,
-         [this, Info, Done,
+  for (const PieceOfNews &Each : All)
+    Params["workers"].append(write(Each.Info));
+  passOn(wire::method::Announce, std::move(Params), false,
+         [this, All = std::move(All),
           Leader = Relay_.Leader](const Outcome<Json::Value> &Result) {
-           if (!Result)
-             return Done(Result.error());
-           announce(Directory_, Info, Needs_.Clock.now());
-           if (Leader == Relay_.Leader)
-             noteKnown(Relay_, Info);
-           Done(geraniumbay::Done{});
+           NewsUnderWay_ = false;
+           for (const PieceOfNews &Each : All) {
+             if (!Result) {
+               Each.Done(Result.error());
+               continue;
+             }
+             announce(Directory_, Each.Info, Needs_.Clock.now());
+             if (Leader == Relay_.Leader)
+               noteKnown(Relay_, Each.Info);
+             Each.Done(geraniumbay::Done{});
+           }
+           passNewsOn();
          });
 }
 
+std::optional<Endpoint> JobService::announceAt(const WorkerId &Worker) const {
+  if (!serves())
+    return std::nullopt;
+  std::optional<Endpoint> Chosen;
+  std::size_t Highest = 0;
+  for (const auto &[Member, State] : Shared_) {
+    bool Answers = State.AnsweredAt &&
+                   Needs_.Clock.now() - *State.AnsweredAt < MemberSilence;
+    std::size_t Weight =
+        std::hash<std::string>()(Member.text() + Worker.value());
+    if (!Answers || (Chosen && Weight <= Highest))
+      continue;
+    Chosen = Member;
+    Highest = Weight;
+  }
+  return Chosen;
+}
+
 void JobService::tellHeard() {
   Needs_.Timers.after(HeardInterval, [this] { tellHeard(); });
   followLeader(Relay_, Needs_.Log.leaderAddress());
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -38,7 +38,7 @@
 //   pool.register {job, pool, origin, incarnation, serial, refused_by?}
 //     -> {pool}: the pool that the job goes to; with release: -> {}
 //     between entries
-//   workers.announce {worker} and workers.leave {worker} -> {}
+//   workers.announce {workers} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.heard {workers} -> {unknown?: workers that it does not have}
 //     to the leader: who has announced nothing new lately
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -73,6 +73,7 @@
   Offer(wire::method::Cancel, &JobService::cancel);
   Offer(wire::method::Pending, &JobService::pending);
   Offer(wire::method::Share, &JobService::takeShared);
+  Offer(wire::method::Announce, &JobService::takeNews);
   Offer(wire::method::Heard, &JobService::takeHeard);
   Offer(wire::method::Sync, &JobService::sync);
   Offer(wire::method::Document, &JobService::document);
@@ -85,14 +86,6 @@
       Answer(Was.error());
     };
   };
-  Needs_.Server.method(
-      wire::method::Announce,
-      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
-        auto Info = attempt([&] { return readWorker(Params["worker"]); });
-        if (!Info)
-          return Answer(Info.error());
-        takeAnnouncement(*Info, true, Acknowledged(Answer));
-      });
   Needs_.Server.method(
       wire::method::Leave,
       [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -41,6 +41,7 @@
 
   void announceWorker(const WorkerInfo &Info, Acknowledge Done) override;
   void workerLeaves(const WorkerId &Worker, Acknowledge Done) override;
+  std::optional<Endpoint> announceAt(const WorkerId &Worker) const override;
   void putRouting(const std::string &Document, Acknowledge Done) override;
   void getRouting(std::function<void(Outcome<std::string>)> Done) override;
   void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
@@ -113,8 +114,9 @@
   // Passed on to the leader. Forwarded messages are not passed on again.
   void passOn(const char *Method, Json::Value Params, bool Forwarded,
               std::function<void(Outcome<Json::Value>)> Done);
-  void takeAnnouncement(const WorkerInfo &Info, bool Forwarded,
-                        const Acknowledge &Done);
+  void takeNews(const Json::Value &Params, const Reply &Answer);
+  /// Passes on what has come meanwhile, in one message at a time.
+  void passNewsOn();
   /// Tells the leader again and again which workers were heard here.
   void tellHeard();
   void takeHeard(const Json::Value &Params, const Reply &Answer);
@@ -161,6 +163,7 @@
     /// How many there were when the list was begun.
     std::uint64_t ListedFrom = 0;
     bool UnderWay = false;
+    std::optional<Time> AnsweredAt;
   };
   std::map<Endpoint, ShareState> Shared_;
   /// Of the others: which leader's term told them of which workers, and how
@@ -177,6 +180,13 @@
   std::optional<Time> TooManySince_;
   WorkerDirectory Directory_;
   AnnouncementRelay Relay_;
+  /// What the leader is still to be told.
+  struct PieceOfNews {
+    WorkerInfo Info;
+    Acknowledge Done;
+  };
+  std::vector<PieceOfNews> News_;
+  bool NewsUnderWay_ = false;
   Routing Routing_;
   /// The version of the configuration that Routing_ was read from.
   ConfigVersion RoutingFrom_;
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -292,6 +292,8 @@
           return;
         ShareState &Of = Shared_[Member];
         Of.UnderWay = false;
+        if (Result)
+          Of.AnsweredAt = Needs_.Clock.now();
         // One that lacks something is told all workers anew. Without an answer
         // the same is told again: that changes nothing.
         if (Result && wire::isSet(*Result, "behind"))
--- a/src/jobs/tests/announcementtest.cpp
+++ b/src/jobs/tests/announcementtest.cpp
@@ -158,6 +158,36 @@
   EXPECT_EQ(drainingByName(2).size(), Announced.size());
 }
 
+// Hundreds of workers start at once: what comes while a message to the leader
+// is under way goes with the next one.
+TEST_F(AnnouncementTest, NewsThatComeAtOnceArePassedOnTogether) {
+  Fake.run(100ms);
+  Fake.Net.Sent.clear();
+  std::size_t Acknowledged = 0;
+  for (std::size_t I = 0; I < Announced.size(); ++I)
+    announce(I, [&](const Outcome<Done> &Was) { Acknowledged += Was.ok(); });
+  Fake.run(20ms);
+  EXPECT_EQ(Acknowledged, Announced.size());
+  EXPECT_LE(Fake.Net.Sent[wire::method::Announce], 2U * (Vms - 1));
+}
+
+TEST_F(AnnouncementTest, TheLeaderSendsWorkersToFollowersThatAnswer) {
+  announceFor(3s);
+  std::map<std::string, int> Sent;
+  for (const WorkerInfo &Each : Announced) {
+    auto At = Group[0]->Service.announceAt(Each.Worker);
+    ASSERT_TRUE(At);
+    ++Sent[At->Address];
+  }
+  EXPECT_GT(Sent["10.0.9.2"], 5);
+  EXPECT_GT(Sent["10.0.9.3"], 5);
+  EXPECT_FALSE(Group[1]->Service.announceAt(Announced[0].Worker));
+  Fake.Faults.Cut.insert({"10.0.9.1", "10.0.9.2"});
+  Fake.Faults.Cut.insert({"10.0.9.1", "10.0.9.3"});
+  Fake.run(4s);
+  EXPECT_FALSE(Group[0]->Service.announceAt(Announced[0].Worker));
+}
+
 TEST_F(AnnouncementTest, ASilentWorkerIsForgotten) {
   announceFor(3s);
   Announced.erase(Announced.begin() + 5);
