Learn a worker's clock from each answer to a start

Cause: an answer to a hold that lies unread while an owner stands still, as when several configurations come at once, sets the estimate of the worker's clock back by that time. Ruled out: keeping the closer estimate of before (tried; a worker that stood still would be taken to be ahead, and a held-up order would outlive its lease: not kept). Change: every answer to a start, a refusal as late among them, brings the worker's clock. Conclusion: WorkerSessionTest, two cases that fail without it.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -260,6 +260,9 @@
   if (Answer.Result == StartResult::Gone)
     return dropWorker(Worker, "another incarnation answered",
                       scheduling::WorkerLoss::Crashed);
+  // A worker that finds an order late shows how far its clock has come.
+  if (Answer.Clock)
+    noteMoment(*On, *Answer.Clock, Needs_.Clock.now());
   if (Answer.Result == StartResult::Fenced)
     return Needs_.Fenced(Order.Token);
   auto Found = On->Runs.find(Task);
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -111,10 +111,10 @@
 WorkerMillis leaseUntil(const WorkerSession &Session,
                         const LeaseSettings &Settings, Duration Length,
                         Time Now) {
-  Duration Passed = (Now - Session.ClockSeen) *
+  Duration Passed = (Now - Session.MomentSeen) *
                     (Percent - Settings.SlowClockPercent) / Percent;
   auto Millis = std::chrono::floor<std::chrono::milliseconds>(Passed + Length);
-  return WorkerMillis(Session.Clock.value() + Millis.count());
+  return WorkerMillis(Session.Moment.value() + Millis.count());
 }
 
 void noteLease(WorkerSession &Session, const LeaseSettings &Settings,
@@ -166,11 +166,18 @@
                      });
 }
 
+void noteMoment(WorkerSession &Session, WorkerMillis Moment, Time Now) {
+  if (Moment < Session.Moment)
+    return;
+  Session.Moment = Moment;
+  Session.MomentSeen = Now;
+}
+
 bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now) {
+  noteMoment(Session, Clock, Now);
   if (Clock < Session.Clock)
     return false;
   Session.Clock = Clock;
-  Session.ClockSeen = Now;
   return true;
 }
 
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -53,9 +53,13 @@
   Time BusySince;
   Resources Used;
 
-  /// A moment of the worker's clock and the latest time here at which it was.
+  /// The latest moment of the worker's clock that a hold has brought.
   WorkerMillis Clock;
-  Time ClockSeen;
+  /// The moment of its clock from which the present one is estimated, and the
+  /// latest time here at which it was. An estimate from an earlier one might be
+  /// closer, but a worker that stood still since would be taken to be ahead.
+  WorkerMillis Moment;
+  Time MomentSeen;
   /// It has answered a hold of this leader, so all that runs there is known.
   bool Known = false;
   /// The last hold failed: nothing is started, and no lease renewed, until one
@@ -187,8 +191,13 @@
 /// takes. It may be out of reach.
 bool hasUnansweredStart(const WorkerSession &Session, Time Now);
 
-/// Notes a moment of the worker's clock that an answer brought. Returns false
-/// if an answer from a later moment was seen before.
+/// Notes a moment of the worker's clock that any answer brought. A start that
+/// is late for the worker brings one too: an answer that has lain unread while
+/// this process stood still sets the estimate back by that time, and all orders
+/// would be late until the next hold.
+void noteMoment(WorkerSession &Session, WorkerMillis Moment, Time Now);
+/// The same for an answer to a hold. Returns false if an answer from a later
+/// moment was seen before.
 bool noteClock(WorkerSession &Session, WorkerMillis Clock, Time Now);
 
 /// Whether new tasks of \p Service may go to the worker, room or not.
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -51,7 +51,8 @@
     if (!Fresh)
       continue;
     With.Clock = Known.Info.Clock;
-    With.ClockSeen = Now;
+    With.Moment = Known.Info.Clock;
+    With.MomentSeen = Now;
     logEvent(LogLevel::Info, Module, "worker_found",
              {{"worker", Id},
               {"address", Known.Info.At.text()},
--- a/src/jobs/tests/workersessiontest.cpp
+++ b/src/jobs/tests/workersessiontest.cpp
@@ -17,7 +17,8 @@
   WorkerSession Result;
   Result.Info.Capacity = {4000, 1000, 0};
   Result.Clock = WorkerMillis(1000);
-  Result.ClockSeen = Now;
+  Result.Moment = Result.Clock;
+  Result.MomentSeen = Now;
   addRun(Result, Task,
          jobs::Run{RunNumber(1),
                    {1000, 10, 0},
@@ -89,6 +90,35 @@
   EXPECT_GE(leaseBound(Settings), 1020ms + Settings.KillTime);
 }
 
+// The owner stood still while the answer lay there, and then orders with it.
+TEST(WorkerSessionTest, ALateStartCorrectsAnEstimateThatIsBehind) {
+  WorkerSession Session = sessionWith(First, 0);
+  LeaseSettings Settings;
+  takeHold(Session, answerAt(1010), Now + 300ms);
+  EXPECT_EQ(leaseUntil(Session, Settings, 60ms, Now + 300ms),
+            WorkerMillis(1070));
+  noteMoment(Session, WorkerMillis(1302), Now + 303ms);
+  EXPECT_EQ(leaseUntil(Session, Settings, 60ms, Now + 303ms),
+            WorkerMillis(1362));
+}
+
+// A worker that stood still is behind what its clock was taken to be.
+TEST(WorkerSessionTest, AnEstimateIsNeverAheadOfTheLatestAnswer) {
+  WorkerSession Session = sessionWith(First, 0);
+  noteMoment(Session, WorkerMillis(1010), Now + 1s);
+  EXPECT_EQ(leaseUntil(Session, LeaseSettings(), 60ms, Now + 1s),
+            WorkerMillis(1070));
+}
+
+TEST(WorkerSessionTest, AnyAnswerShowsHowFarTheClockHasCome) {
+  WorkerSession Session = sessionWith(First, 0);
+  noteMoment(Session, WorkerMillis(1500), Now + 10ms);
+  EXPECT_EQ(leaseUntil(Session, LeaseSettings(), 60ms, Now + 10ms),
+            WorkerMillis(1560));
+  // What holds list is still in the order of their own moments.
+  EXPECT_TRUE(takeHold(Session, answerAt(1400), Now + 20ms).Current);
+}
+
 TEST(WorkerSessionTest, WhatAPartialAnswerDoesNotListIsNotTakenForGone) {
   TaskId Task{JobId("job"), 0, 0};
   WorkerSession Session = sessionWith(Task, 1000);
