Stand for election again soon after a tie when nobody leads

Cause: after a loss of all processes members hear at the same moment, with the last start, that nobody leads, and stand together; after a tie each waited for a whole election timeout. Ruled out: an order of candidates by rank (the first may lack committed entries). Change: a candidate of such an election tries again after one to two heartbeats.

--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -66,6 +66,9 @@
   State.Leader.reset();
   State.Votes = {State.Self};
   resetElectionTimer(State, Now);
+  // Others have heard at the same moment that nobody leads, and stand too.
+  if (Why == Release::NobodyLeads)
+    retryElectionSoon(State, Now + State.Settings.Heartbeat);
   VoteRequest Body;
   Body.HandedOver = Why == Release::HandedOver;
   Body.NobodyLeads = Why == Release::NobodyLeads;
--- a/src/control/tests/grouptest.cpp
+++ b/src/control/tests/grouptest.cpp
@@ -2,6 +2,7 @@
 
 #include "control/internal/raftparts.h"
 #include "control/tests/groupfake.h"
+#include "framework/random/random.h"
 
 #include <gtest/gtest.h>
 
@@ -349,6 +350,31 @@
   EXPECT_EQ(change("b", 1), accepted(2));
 }
 
+// Members that start one after the other stand for election at the same moment
+// once the last of them answers. A tie costs no election timeout.
+TEST(StaggeredStartTest, AnEvenGroupHasALeaderSoonAfterTheLastStart) {
+  constexpr std::size_t Count = 6;
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    GroupFake Group(Count, Seed);
+    for (std::size_t I = 0; I < Count; ++I)
+      Group.start(I);
+    ASSERT_GE(Group.runToLeader(), 0);
+    Group.run(1s);
+    for (std::size_t I = 0; I < Count; ++I)
+      Group.crash(I);
+    Random Rng(Seed);
+    for (std::size_t I = 0; I < Count; ++I) {
+      Group.run(Duration(Rng.below(2) * 50'000));
+      Group.start(I);
+    }
+    Time LastStart = Group.Clock.now();
+    ASSERT_GE(Group.runToLeader(), 0);
+    EXPECT_LE(Group.Clock.now() - LastStart, Group.Settings.ElectionTimeout)
+        << "seed " << Seed;
+    EXPECT_EQ(Group.Wrong, "");
+  }
+}
+
 // The leader is there but only one follower reaches it, and that one has just
 // started: it does not vote while the leader may count on it.
 TEST_F(GroupTest, AStartedMemberKeepsAPromiseToALeaderThatIsSilentForOthers) {
