Tell entries the loads of some pools at a time

Smoothing alone did not keep loads from changing between two questions. Ruled out: the loads that changed first (the same pools every time, as owners ask in a steady order; the test showed it). Change: an answer names all pools with another owner, and 16 at most whose load alone has changed, in turn by name. Conclusion: LargeGroupTest; its asker tells the counts that it knows, as entries do.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -219,6 +219,11 @@
   std::uint64_t ListsOf_ = 0;
   std::uint64_t EntriesChange_ = 0;
   std::uint64_t OwnersChange_ = 0;
+  /// Loads are told in turn: the changes that are covered, those that were
+  /// there when the turn under way began, and the last pool told in it.
+  std::uint64_t LoadsChange_ = 0;
+  std::uint64_t LoadsBegan_ = 0;
+  std::string LoadsAfter_;
   /// The leader's last list of entries, and when it was last taken.
   std::vector<EntryPlace> ToldEntries_;
   Time EntriesNamed_;
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -53,6 +53,8 @@
   Params["lists_of"] = Json::UInt64(ListsOf_);
   Params["entries_change"] = Json::UInt64(EntriesChange_);
   Params["owners_change"] = Json::UInt64(OwnersChange_);
+  Params["loads_change"] = Json::UInt64(LoadsChange_);
+  Params["loads_after"] = LoadsAfter_;
   Params["evacuations_change"] = Json::UInt64(EvacuationsKnown_.value());
   if (!Evacuated_.empty())
     Params["evacuated_running"] = writeEvacuatedRunning();
@@ -327,6 +329,13 @@
     if (!Told.isObject() || !Told.isMember(Name.value()))
       In->confirmReport();
   OwnersChange_ = wire::numberOf(Result, "owners_change");
+  if (LoadsAfter_.empty())
+    LoadsBegan_ = OwnersChange_;
+  LoadsAfter_ = Result["loads_after"].isString()
+                    ? Result["loads_after"].asString()
+                    : std::string();
+  if (LoadsAfter_.empty())
+    LoadsChange_ = LoadsBegan_;
 }
 
 void EntryJobs::followLists(const Json::Value &Result) {
@@ -337,6 +346,8 @@
   ListsOf_ = Of;
   EntriesChange_ = 0;
   OwnersChange_ = 0;
+  LoadsChange_ = 0;
+  LoadsAfter_.clear();
   for (const auto &[Name, In] : Pools_)
     In->dropReport();
 }
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -75,8 +75,13 @@
   /// What has changed for the entry that asks.
   void tellEntry(const Json::Value &Params, Json::Value &Into);
   void tellEntries(const Json::Value &Params, Json::Value &Into);
+  struct OwnerWord;
   void noteOwner(const PoolName &Name, const Json::Value &Claim, Time Now);
+  void changeOwner(OwnerWord &Known, const Json::Value &Claim);
   void tellOwners(const Json::Value &Params, Json::Value &Into);
+  /// Tells some of the pools whose load alone has changed, in turn.
+  void tellLoads(const Json::Value &Params, bool SameTerm,
+                 Json::Value &Into) const;
   /// Whether the entry that asks knows this leader's lists.
   bool isOfThisTerm(const Json::Value &Params) const;
   /// With \p Any also a list that is too long to come with every answer.
@@ -155,6 +160,8 @@
     Json::Value Claim;
     Time Heard;
     std::uint64_t ChangedAt = 0;
+    /// The same for more than its load.
+    std::uint64_t OwnerChangedAt = 0;
   };
   std::map<PoolName, OwnerWord> Owners_;
   /// Of a leader: how many changes of the workers each control VM was told.
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -42,6 +42,9 @@
 /// they ask again, and would be asked again for ever.
 constexpr std::size_t MaxDocumentInSync = std::size_t{16} << 10U;
 constexpr std::size_t MaxWorkersInSync = 50;
+/// Pools whose load alone has changed. In a large group nearly all loads change
+/// between two questions; entries weigh a few pools at a time.
+constexpr std::size_t MostLoadsInSync = 16;
 
 /// Workers announce themselves within two seconds of their start; when none has
 /// come for so long, all have.
@@ -132,8 +135,17 @@
   Known.Heard = Now;
   if (Known.ChangedAt != 0 && Known.Claim == Claim)
     return;
+  changeOwner(Known, Claim);
+}
+
+void JobService::changeOwner(OwnerWord &Known, const Json::Value &Claim) {
+  bool Other = Known.ChangedAt == 0 || Known.Claim.isNull() || Claim.isNull() ||
+               Known.Claim["owner"] != Claim["owner"] ||
+               Known.Claim["token"] != Claim["token"];
   Known.Claim = Claim;
   Known.ChangedAt = ++OwnersChange_;
+  if (Other)
+    Known.OwnerChangedAt = OwnersChange_;
 }
 
 void JobService::tellOwners(const Json::Value &Params, Json::Value &Into) {
@@ -143,17 +155,36 @@
     for (const std::string &Name : Owned.getMemberNames())
       noteOwner(PoolName(Name), Owned[Name], Now);
   for (auto &[Name, Known] : Owners_)
-    if (!Known.Claim.isNull() && Now - Known.Heard >= OwnerWordLasts) {
-      Known.Claim = Json::Value();
-      Known.ChangedAt = ++OwnersChange_;
-    }
-  std::uint64_t Since =
-      isOfThisTerm(Params) ? wire::numberOf(Params, "owners_change") : 0;
+    if (!Known.Claim.isNull() && Now - Known.Heard >= OwnerWordLasts)
+      changeOwner(Known, Json::Value());
   Into["lists_of"] = Json::UInt64(Term_->value());
   Into["owners_change"] = Json::UInt64(OwnersChange_);
+  bool SameTerm = isOfThisTerm(Params);
+  std::uint64_t Since = SameTerm ? wire::numberOf(Params, "owners_change") : 0;
   for (const auto &[Name, Known] : Owners_)
-    if (Known.ChangedAt > Since)
+    if (Known.OwnerChangedAt > Since)
       Into["owners"][Name.value()] = Known.Claim;
+  tellLoads(Params, SameTerm, Into);
+}
+
+void JobService::tellLoads(const Json::Value &Params, bool SameTerm,
+                           Json::Value &Into) const {
+  std::uint64_t Since = SameTerm ? wire::numberOf(Params, "loads_change") : 0;
+  PoolName After;
+  if (SameTerm && Params["loads_after"].isString())
+    After = PoolName(Params["loads_after"].asString());
+  std::size_t Count = 0;
+  for (auto It = Owners_.upper_bound(After); It != Owners_.end(); ++It) {
+    const auto &[Name, Known] = *It;
+    if (Known.ChangedAt <= Since || Into["owners"].isMember(Name.value()))
+      continue;
+    Into["owners"][Name.value()] = Known.Claim;
+    if (++Count < MostLoadsInSync)
+      continue;
+    // The others come with the next answers.
+    Into["loads_after"] = Name.value();
+    return;
+  }
 }
 
 void JobService::document(const Json::Value & /*Params*/, const Reply &Answer) {
--- a/src/jobs/tests/largegrouptest.cpp
+++ b/src/jobs/tests/largegrouptest.cpp
@@ -54,6 +54,8 @@
                           "workers_of", "workers_change", "configuration"})
                       if (Result->isMember(Known))
                         Params[Known] = (*Result)[Known];
+                    if (!Result->isMember("loads_after"))
+                      Params["loads_change"] = (*Result)["owners_change"];
                   });
     Fake.run(10ms);
   };
@@ -65,6 +67,52 @@
   EXPECT_LT(Bytes, 400U);
 }
 
+// Sixty pools whose loads change all the time.
+TEST(LargeGroupTest, AnAnswerOfControlDoesNotGrowWithThePools) {
+  EntryFake Fake(1, 1);
+  ControlFake Control(Fake, "document");
+  constexpr int Pools = 60;
+  const Endpoint Asker{"10.0.1.99", 7000};
+  Json::Value Params(Json::objectValue);
+  Params["entry"] = Asker.text();
+  Params["data_centre"] = "a";
+  std::map<std::string, int> Told;
+  std::size_t Most = 0;
+  auto Ask = [&](int Round, const std::string &Owner) {
+    Params["owned"] = Json::Value(Json::objectValue);
+    for (int I = 0; I < Pools; ++I) {
+      Json::Value &Claim = Params["owned"]["a/r" + std::to_string(I)];
+      Claim["owner"] = Owner;
+      Claim["token"] = 7;
+      Claim["load"]["used"] = Round;
+    }
+    Fake.Net.call(
+        Asker, Fake.controlAddress(), wire::method::Sync, Params, 1s,
+        [&](const Outcome<Json::Value> &Result) {
+          ASSERT_TRUE(Result);
+          const Json::Value &Owners = (*Result)["owners"];
+          Most = Owners.size();
+          for (const std::string &Name : Owners.getMemberNames())
+            ++Told[Name];
+          for (const char *Known : {"lists_of", "owners_change", "loads_after"})
+            Params[Known] = (*Result)[Known];
+        });
+    Fake.run(300ms);
+  };
+  Ask(0, "10.0.1.1:1");
+  EXPECT_GE(Most, std::size_t{Pools});
+  Params["loads_change"] = Params["owners_change"];
+  Told.clear();
+  for (int Round = 1; Round <= 20; ++Round) {
+    Ask(Round, "10.0.1.1:1");
+    EXPECT_LE(Most, 17U);
+  }
+  EXPECT_GE(Told.size(), std::size_t{Pools});
+  // All hear of another owner at once.
+  Ask(21, "10.0.1.2:1");
+  EXPECT_GE(Most, std::size_t{Pools});
+}
+
 TEST(LargeGroupTest, EachPoolHasOneOwnerAfterHalfOfTheEntriesAreLost) {
   EntryFake Fake(20, 60);
   ControlFake Control(Fake, "document");
