--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -50,7 +50,7 @@
 
 JobService::JobService(JobServiceNeeds Needs, RoutingReader Reader,
                        LeaseSettings Lease)
-    : Needs_(Needs), Reader_(std::move(Reader)), Lease_(Lease) {}
+    : Needs_(std::move(Needs)), Reader_(std::move(Reader)), Lease_(Lease) {}
 
 void JobService::start() {
   offerMethods();
--- a/src/jobs/tests/announcementtest.cpp
+++ b/src/jobs/tests/announcementtest.cpp
@@ -40,9 +40,10 @@
 };
 
 class AnnouncementTest : public testing::Test {
-protected:
+public:
   void SetUp() override {
     std::vector<Endpoint> Members;
+    Members.reserve(Vms);
     for (int I = 0; I < Vms; ++I)
       Members.push_back({"10.0.9." + std::to_string(I + 1), 7000});
     for (const Endpoint &At : Members) {
--- a/src/jobs/tests/evacuationtest.cpp
+++ b/src/jobs/tests/evacuationtest.cpp
@@ -23,7 +23,7 @@
 constexpr Duration InForce = 400ms;
 
 class EvacuationTest : public testing::Test {
-protected:
+public:
   /// Two data centres with two racks each, or one pool with few workers.
   void build(int WorkersEach) {
     Fake = std::make_unique<EntryFake>(3, WorkersEach);
--- a/src/scheduling/poolsize.cpp
+++ b/src/scheduling/poolsize.cpp
@@ -21,6 +21,7 @@
 std::vector<std::pair<std::size_t, std::string>>
 largestFirst(const std::map<std::string, std::size_t> &Racks) {
   std::vector<std::pair<std::size_t, std::string>> Result;
+  Result.reserve(Racks.size());
   for (const auto &[Rack, Workers] : Racks)
     Result.emplace_back(Workers, Rack);
   std::stable_sort(Result.begin(), Result.end(),
