Evacuate only once the other data centre's worker is known, in the process test

An owner that knows only workers of the evacuated data centre refuses its jobs, and a stand-in worker that started late was not known yet. Change: the test waits for the worker, and says what the logs tell of a refusal.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -6,6 +6,7 @@
 import os
 import random
 import threading
+import time
 import unittest
 
 from platform_standin import Fleet, HOST, request, wait_until
@@ -235,9 +236,29 @@
             "all entries know",
         )
 
+    def refusals(self):
+        """What the entries' logs say of jobs that were not served."""
+        # Lines reach the log a moment after what they tell of.
+        time.sleep(1)
+        return [
+            line
+            for machine in self.fleet.entries
+            for line in machine.log().splitlines()
+            if "outcome=not_taken" in line or "event=job_not_in_time" in line
+        ]
+
     def test_evacuated_data_centre_gets_nothing_more(self):
         first = self.fleet.workers[0]
         self.assertEqual(first.data_centre, "barracas")
+        # An owner that knows no worker elsewhere refuses its jobs.
+        wait_until(
+            lambda: any(
+                "event=worker_found worker=i-1 " in machine.log()
+                for machine in self.fleet.entries
+            ),
+            20,
+            "the worker of the other data centre is known",
+        )
         self.assertEqual(self.fleet.evacuate("nowhere"), 404)
         self.assertEqual(self.fleet.evacuate("barracas/"), 400)
         self.assertEqual(self.fleet.evacuate("barracas"), 200)
@@ -245,7 +266,7 @@
         before = dict(first.highest)
         for number in range(6):
             status, _ = self.fleet.job(number % 3, f"{number:016x}", seconds=0.02)
-            self.assertEqual(status, 200)
+            self.assertEqual(status, 200, self.refusals())
         # All processes end and come back: the order stands.
         for machine in self.fleet.core + self.fleet.entries:
             machine.kill()
