Say acknowledgements, refusals and labels once

Cause: the evacuations wrote again what stood elsewhere: the two adapters between messages and acknowledgements, the test of a worker's label, a refusal that was kept and then kept again with more in it; tests repeated a loop and a division into racks. A member of a caller's job stood under its neighbour's comment, and IJobControl promised more of Unavailable than holds. Change: acknowledge.h, carries() beside the other questions about a worker, noteRefusal() takes the refusal, one search for a job's earlier runs. Behaviour is as before.

--- a/src/jobs/ijobcontrol.h
+++ b/src/jobs/ijobcontrol.h
@@ -37,7 +37,8 @@
 
   /// Evacuates \p DataCentre, or ends its evacuation: acknowledged once it is
   /// in the log of a majority. Given again it is acknowledged again. NotFound:
-  /// nobody knows the data centre. Unavailable: it has certainly had no effect.
+  /// nobody knows the data centre. Unavailable or Timeout: order it again; it
+  /// may be recorded.
   virtual void orderEvacuation(const DataCentreId &DataCentre, bool Evacuate,
                                Acknowledge Done) = 0;
 
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -62,10 +62,10 @@
   std::optional<OwnerClaim> SentTo;
   /// An owner may have started tasks of it.
   bool MaybeTaken = false;
-  /// Tasks of it have run in a data centre that is evacuated, and have ended.
-  bool HasRun = false;
   /// Which one, last.
   Endpoint TakenBy;
+  /// Tasks of it have run in a data centre that is evacuated, and have ended.
+  bool HasRun = false;
 };
 
 /// Whether a job was refused or given up by the pool's owner.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -74,11 +74,12 @@
   takeWorkers(Result);
   rankCandidates();
   takeOwners(Result);
+  // Long things are fetched from a control VM that is another's for others.
+  Endpoint OneOfMany = Control_.spread(std::hash<std::string>()(Self_.text()));
   if (ConfigVersion(wire::numberOf(Result, "large_document")) > RoutingFrom_)
-    fetchDocument(Control_.spread(std::hash<std::string>()(Self_.text())),
-                  From);
+    fetchDocument(OneOfMany, From);
   if (Result.isMember("many_workers"))
-    fetchWorkers(Control_.spread(std::hash<std::string>()(Self_.text())), From);
+    fetchWorkers(OneOfMany, From);
   if (wire::isSet(Result, "ready"))
     ControlSchedules_ = wire::isSet(Result, "schedules");
 }
--- a/src/jobs/internal/evacuationmoves.cpp
+++ b/src/jobs/internal/evacuationmoves.cpp
@@ -40,12 +40,13 @@
 void Scheduler::noteEmptied() {
   std::erase_if(Emptying_, [&](const DataCentreId &Each) {
     bool Ended = runningIn(Each) == 0;
-    if (Ended || Needs_.Evacuated.count(Each) == 0)
-      logEvent(LogLevel::Info, Module, "evacuation_obeyed",
-               {{"data_centre", Each},
-                {"token", Token_.value()},
-                {"outcome", Ended ? "no task runs there" : "taken back"}});
-    return Ended || Needs_.Evacuated.count(Each) == 0;
+    if (!Ended && Needs_.Evacuated.count(Each) != 0)
+      return false;
+    logEvent(LogLevel::Info, Module, "evacuation_obeyed",
+             {{"data_centre", Each},
+              {"token", Token_.value()},
+              {"outcome", Ended ? "no task runs there" : "taken back"}});
+    return true;
   });
 }
 
@@ -53,11 +54,8 @@
   bool Any = false;
   for (const auto &[Id, With] : Sessions_) {
     const WorkerInfo &Info = With.Info;
-    bool HasLabel = Step.RequiredLabel.empty() ||
-                    std::find(Info.Labels.begin(), Info.Labels.end(),
-                              Step.RequiredLabel) != Info.Labels.end();
-    if (Info.Service != Of.Service || Info.Draining || !HasLabel ||
-        !isLargeEnough(With, Step.Needs))
+    if (Info.Service != Of.Service || Info.Draining ||
+        !carries(Info, Step.RequiredLabel) || !isLargeEnough(With, Step.Needs))
       continue;
     if (!With.Evacuated)
       return false;
@@ -86,18 +84,15 @@
 }
 
 TransientEnd Scheduler::noteShutOut(const JobId &Id, bool HasRun) {
-  Time Now = Needs_.Clock.now();
-  TransientEnd Refusal =
-      noteRefusal(Id, EvacuationReason, RetryAfterEvacuation, Now);
+  TransientEnd Refusal = refusalOf(EvacuationReason, RetryAfterEvacuation);
   Refusal.Evacuated = true;
   Refusal.HasRun = HasRun;
-  Refused_[Id] = {Now, Refusal};
   logEvent(LogLevel::Info, Module, "job_shut_out",
            {{"job", Id}, {"has_run", HasRun}, {"token", Token_.value()}});
   Needs_.Measured.count("geraniumbay_jobs_shut_out_total",
                         "Jobs that left an evacuated data centre.",
                         {{"has_run", HasRun ? "yes" : "no"}});
-  return Refusal;
+  return noteRefusal(Id, Refusal);
 }
 
 void Scheduler::moveAway(const JobId &Id) {
--- a/src/jobs/internal/evacuationservice.cpp
+++ b/src/jobs/internal/evacuationservice.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "framework/log/log.h"
+#include "jobs/internal/acknowledge.h"
 #include "jobs/internal/evacuationwire.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobservice.h"
@@ -30,11 +31,6 @@
                        });
   Needs_.Server.method(wire::method::Evacuate, [this](const Json::Value &Params,
                                                       const Reply &Answer) {
-    auto Acknowledge = [Answer](const Outcome<Done> &Was) {
-      if (Was)
-        return Answer(Json::Value(Json::objectValue));
-      Answer(Was.error());
-    };
     // An operator's tool names no base; another control VM does.
     bool Forwarded = Params.isObject() && Params.isMember("base");
     Json::Value Full = Params;
@@ -44,8 +40,8 @@
     if (!Order)
       return Answer(Order.error());
     if (Forwarded)
-      return takeEvacuation(*Order, true, Acknowledge);
-    orderEvacuation(Order->DataCentre, Order->Evacuate, Acknowledge);
+      return takeEvacuation(*Order, true, acknowledgeBy(Answer));
+    orderEvacuation(Order->DataCentre, Order->Evacuate, acknowledgeBy(Answer));
   });
 }
 
@@ -84,11 +80,7 @@
   if (serves())
     return recordEvacuation(Order, Done);
   passOn(wire::method::Evacuate, wire::write(Order), Forwarded,
-         [Done](const Outcome<Json::Value> &Result) {
-           if (Result)
-             return Done(geraniumbay::Done{});
-           Done(Result.error());
-         });
+         withoutValue(Done));
 }
 
 void JobService::recordEvacuation(const EvacuationOrder &Order,
--- a/src/jobs/internal/intake.cpp
+++ b/src/jobs/internal/intake.cpp
@@ -252,7 +252,7 @@
   if (Decided.What == scheduling::Verdict::Refused || Job.Late ||
       isStale(Job, Now)) {
     constexpr const char *Reason = "no worker was free in time";
-    noteRefusal(Id, Reason, Decided.RetryAfter, Now);
+    noteRefusal(Id, refusalOf(Reason, Decided.RetryAfter));
     return cancelTransient(Id, Reason, Decided.RetryAfter);
   }
   Job.Late = true;
--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "framework/log/log.h"
+#include "jobs/internal/acknowledge.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobservice.h"
 
@@ -20,15 +21,6 @@
 /// Another operator's change may come first this often.
 constexpr int MaxTries = 8;
 
-std::function<void(Outcome<Json::Value>)>
-withoutValue(const IJobControl::Acknowledge &Acknowledged) {
-  return [Acknowledged](const Outcome<Json::Value> &Result) {
-    if (Result)
-      return Acknowledged(Done{});
-    Acknowledged(Result.error());
-  };
-}
-
 } // namespace
 
 void JobService::passOn(const char *Method, Json::Value Params, bool Forwarded,
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -8,6 +8,7 @@
 #include "jobs/internal/jobservice.h"
 
 #include "framework/log/log.h"
+#include "jobs/internal/acknowledge.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobwire.h"
 #include "jobs/internal/submission.h"
@@ -79,31 +80,22 @@
   Offer(wire::method::Document, &JobService::document);
   Offer(wire::method::Workers, &JobService::workers);
   offerEvacuations();
-  auto Acknowledged = [](const Reply &Answer) {
-    return [Answer](const Outcome<Done> &Was) {
-      if (Was)
-        return Answer(Json::Value(Json::objectValue));
-      Answer(Was.error());
-    };
-  };
-  Needs_.Server.method(
-      wire::method::Leave,
-      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
-        auto Worker =
-            attempt([&] { return json::readString(Params, "worker"); });
-        if (!Worker)
-          return Answer(Worker.error());
-        takeLeave(WorkerId(*Worker), true, Acknowledged(Answer));
-      });
-  Needs_.Server.method(
-      wire::method::PutRouting,
-      [this, Acknowledged](const Json::Value &Params, const Reply &Answer) {
-        auto Document =
-            attempt([&] { return json::readString(Params, "document"); });
-        if (!Document)
-          return Answer(Document.error());
-        takeRouting(*Document, true, Acknowledged(Answer));
-      });
+  Needs_.Server.method(wire::method::Leave, [this](const Json::Value &Params,
+                                                   const Reply &Answer) {
+    auto Worker = attempt([&] { return json::readString(Params, "worker"); });
+    if (!Worker)
+      return Answer(Worker.error());
+    takeLeave(WorkerId(*Worker), true, acknowledgeBy(Answer));
+  });
+  Needs_.Server.method(wire::method::PutRouting,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         auto Document = attempt([&] {
+                           return json::readString(Params, "document");
+                         });
+                         if (!Document)
+                           return Answer(Document.error());
+                         takeRouting(*Document, true, acknowledgeBy(Answer));
+                       });
   Needs_.Server.method(
       wire::method::GetRouting,
       [this](const Json::Value & /*Params*/, const Reply &Answer) {
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -30,11 +30,6 @@
 /// leaders.
 constexpr std::uint64_t RunsPerTerm = 1000;
 
-bool carries(const WorkerInfo &Info, const std::string &Label) {
-  return Label.empty() || std::find(Info.Labels.begin(), Info.Labels.end(),
-                                    Label) != Info.Labels.end();
-}
-
 std::uint32_t runsOfStep(const WorkerSession &On, const TaskId &Like) {
   std::uint32_t Count = 0;
   for (const auto &[Task, Each] : On.Runs)
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -187,8 +187,7 @@
   void answerWaiters(const JobId &Id, const Outcome<TransientEnd> &Ended);
   void forgetTransient(Time Now);
   /// Keeps a refusal, which stands for a while, and returns it.
-  TransientEnd noteRefusal(const JobId &Id, const char *Reason,
-                           Duration RetryAfter, Time Now);
+  TransientEnd noteRefusal(const JobId &Id, const TransientEnd &Refusal);
   void cancelTransient(const JobId &Id, const std::string &Reason,
                        Duration RetryAfter);
   void releaseUnsettled(Time Now);
--- a/src/jobs/internal/transientend.h
+++ b/src/jobs/internal/transientend.h
@@ -31,6 +31,14 @@
   bool HasRun = false;
 };
 
+/// A refusal: the job is to come back after \p RetryAfter.
+inline TransientEnd refusalOf(std::string Reason, Duration RetryAfter) {
+  TransientEnd Result;
+  Result.Reason = std::move(Reason);
+  Result.RetryAfter = RetryAfter;
+  return Result;
+}
+
 /// An end of a job that has run.
 inline TransientEnd endedAs(JobState State, std::string Reason = "") {
   TransientEnd Result;
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -59,18 +59,21 @@
                   [](const SuspectTask &Each) { return Each.Seen.Guilty; });
   if (Guilty)
     return Ended(endedAs(JobState::Failed, CrashReason));
-  if (!How.MaybeTaken && !hasOrphans(Id) && isShutOut(New))
+  bool RunsNowhere = !How.MaybeTaken && !hasOrphans(Id);
+  if (RunsNowhere && isShutOut(New))
     return Ended(noteShutOut(Id, false));
   // Right after a take-over nobody can tell how long it will wait.
-  if (!How.MaybeTaken && !hasOrphans(Id) && knowsWorkersOf(New.Service)) {
+  if (RunsNowhere && knowsWorkersOf(New.Service)) {
     if (!fitsSomewhere(New))
-      return Ended(noteRefusal(Id, "no worker is large enough for its tasks",
-                               RetryAfterSize, Now));
+      return Ended(
+          noteRefusal(Id, refusalOf("no worker is large enough for its tasks",
+                                    RetryAfterSize)));
     scheduling::Waits Known = forecastFor(New, Now);
     scheduling::Admission Decided = admissionOf(New, Coming, Known);
     if (Decided.What == scheduling::Verdict::Refused)
-      return Ended(noteRefusal(Id, "the backlog is too long to end in time",
-                               Decided.RetryAfter, Now));
+      return Ended(
+          noteRefusal(Id, refusalOf("the backlog is too long to end in time",
+                                    Decided.RetryAfter)));
     Coming.Late = Decided.What == scheduling::Verdict::Late;
     if (!Coming.Late)
       Coming.Forecast = Known.InTurn;
@@ -246,12 +249,9 @@
     Each.Ended(Ended);
 }
 
-TransientEnd Scheduler::noteRefusal(const JobId &Id, const char *Reason,
-                                    Duration RetryAfter, Time Now) {
-  TransientEnd Refusal;
-  Refusal.Reason = Reason;
-  Refusal.RetryAfter = RetryAfter;
-  Refused_[Id] = {Now, Refusal};
+TransientEnd Scheduler::noteRefusal(const JobId &Id,
+                                    const TransientEnd &Refusal) {
+  Refused_[Id] = {Needs_.Clock.now(), Refusal};
   return Refusal;
 }
 
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -208,6 +208,11 @@
   return !Refused && fits(Session.Info.Capacity, Wanted);
 }
 
+bool carries(const WorkerInfo &Info, const std::string &Label) {
+  return Label.empty() || std::find(Info.Labels.begin(), Info.Labels.end(),
+                                    Label) != Info.Labels.end();
+}
+
 bool isLargeEnough(const WorkerSession &Session, const Resources &Needs) {
   return fits(Session.Info.Capacity, Needs);
 }
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -205,6 +205,8 @@
 
 /// Whether the worker has room for \p Needs beside what runs there.
 bool hasRoom(const WorkerSession &Session, const Resources &Needs, Time Now);
+/// Whether the worker carries \p Label; an empty one asks for none.
+bool carries(const WorkerInfo &Info, const std::string &Label);
 /// Whether the worker would have room for \p Needs if nothing ran there.
 bool isLargeEnough(const WorkerSession &Session, const Resources &Needs);
 /// Notes that the worker had no room for \p Needs beside what runs there.
--- a/src/jobs/tests/evacuationtest.cpp
+++ b/src/jobs/tests/evacuationtest.cpp
@@ -49,6 +49,15 @@
     return Jobs;
   }
 
+  /// Jobs at all entries, one after the other; each is to be served.
+  void serveRounds(int Rounds) {
+    for (int I = 0; I < Rounds; ++I) {
+      auto Jobs = submitAll(2);
+      Fake->run(300ms);
+      EXPECT_TRUE(std::all_of(Jobs.begin(), Jobs.end(), served));
+    }
+  }
+
   std::uint64_t startsIn(const DataCentreId &DataCentre) {
     return Fake->Workers.StartsIn[DataCentre];
   }
@@ -67,11 +76,7 @@
   ASSERT_TRUE(order(A, true));
   Fake->run(InForce);
   std::uint64_t Before = startsIn(A);
-  for (int I = 0; I < 20; ++I) {
-    auto Jobs = submitAll(2);
-    Fake->run(300ms);
-    EXPECT_TRUE(allServed(Jobs));
-  }
+  serveRounds(20);
   EXPECT_EQ(startsIn(A), Before);
 }
 
@@ -82,11 +87,7 @@
   ASSERT_TRUE(order(A, false));
   Fake->run(1s);
   std::uint64_t Before = startsIn(A);
-  for (int I = 0; I < 20; ++I) {
-    auto Jobs = submitAll(2);
-    Fake->run(300ms);
-    EXPECT_TRUE(allServed(Jobs));
-  }
+  serveRounds(20);
   EXPECT_GT(startsIn(A), Before);
 }
 
@@ -95,11 +96,7 @@
   ASSERT_TRUE(order(A, true));
   Fake->run(InForce);
   std::uint64_t Before = startsIn(A);
-  for (int I = 0; I < 10; ++I) {
-    auto Jobs = submitAll(2);
-    Fake->run(300ms);
-    EXPECT_TRUE(allServed(Jobs));
-  }
+  serveRounds(10);
   EXPECT_EQ(startsIn(A), Before);
 }
 
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -23,6 +23,12 @@
   return std::all_of(Jobs.begin(), Jobs.end(), served);
 }
 
+/// Numbers the workers' racks in turn.
+void spreadOverRacks(EntryFake &Fake, std::size_t Racks) {
+  for (std::size_t I = 0; I < Fake.announcements().size(); ++I)
+    Fake.announcements()[I].Rack = "r" + std::to_string(I % Racks);
+}
+
 TEST(JobServiceTest, FewWorkersStayOnePool) {
   EntryFake Fake(2, 10);
   ControlFake Control(Fake, "document");
@@ -45,8 +51,7 @@
 // Twelve racks of ten workers in each data centre: three pools there.
 TEST(JobServiceTest, SmallRacksShareAPool) {
   EntryFake Fake(4, 120);
-  for (std::size_t I = 0; I < Fake.announcements().size(); ++I)
-    Fake.announcements()[I].Rack = "r" + std::to_string(I % 12);
+  spreadOverRacks(Fake, 12);
   ControlFake Control(Fake, "document");
   Fake.run(4s);
   EXPECT_EQ(Fake.owners().size(), 6U);
@@ -57,8 +62,7 @@
 // is full.
 TEST(JobServiceTest, ATaskGoesToTheRackOfItsData) {
   EntryFake Fake(4, 60);
-  for (std::size_t I = 0; I < Fake.announcements().size(); ++I)
-    Fake.announcements()[I].Rack = "r" + std::to_string(I % 6);
+  spreadOverRacks(Fake, 6);
   ControlFake Control(Fake, "document");
   Fake.run(4s);
   constexpr std::uint32_t RoomOfTheRack = 2 * 10 * 2;
