--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -61,6 +61,9 @@
   // What control VMs say (entrysync.cpp).
   Json::Value askControl() const;
   void takeControl(const Json::Value &Result, const Endpoint &From);
+  /// The control VM that is asked for what is long: entries spread themselves
+  /// over all of them.
+  Endpoint sourceOfLists() const;
   /// Asks \p From for the document; \p OrElse is asked if that fails.
   void fetchDocument(const Endpoint &From,
                      const std::optional<Endpoint> &OrElse);
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -74,16 +74,18 @@
   takeWorkers(Result);
   rankCandidates();
   takeOwners(Result);
-  // Long things are fetched from a control VM that is another's for others.
-  Endpoint OneOfMany = Control_.spread(std::hash<std::string>()(Self_.text()));
   if (ConfigVersion(wire::numberOf(Result, "large_document")) > RoutingFrom_)
-    fetchDocument(OneOfMany, From);
+    fetchDocument(sourceOfLists(), From);
   if (Result.isMember("many_workers"))
-    fetchWorkers(OneOfMany, From);
+    fetchWorkers(sourceOfLists(), From);
   if (wire::isSet(Result, "ready"))
     ControlSchedules_ = wire::isSet(Result, "schedules");
 }
 
+Endpoint EntryJobs::sourceOfLists() const {
+  return Control_.spread(std::hash<std::string>()(Self_.text()));
+}
+
 void EntryJobs::fetchDocument(const Endpoint &From,
                               const std::optional<Endpoint> &OrElse) {
   if (FetchesDocument_)
