Choose by rendezvous hashing in one place

Cause: the leader's choice of a control VM for a worker wrote the loop of homeOf() again, and poolsToWeigh() asked the same three questions of a pool twice. Change: chooseByHash() serves both, with the same words and so the same choices; one question.

--- a/src/jobs/internal/jobcontrol.cpp
+++ b/src/jobs/internal/jobcontrol.cpp
@@ -8,6 +8,7 @@
 #include "jobs/internal/acknowledge.h"
 #include "jobs/internal/jobmessages.h"
 #include "jobs/internal/jobservice.h"
+#include "jobs/internal/rendezvous.h"
 
 namespace geraniumbay::jobs {
 
@@ -96,19 +97,14 @@
 std::optional<Endpoint> JobService::announceAt(const WorkerId &Worker) const {
   if (!serves())
     return std::nullopt;
-  std::optional<Endpoint> Chosen;
-  std::size_t Highest = 0;
-  for (const auto &[Member, State] : Shared_) {
-    bool Answers = State.AnsweredAt &&
-                   Needs_.Clock.now() - *State.AnsweredAt < MemberSilence;
-    std::size_t Weight =
-        std::hash<std::string>()(Member.text() + Worker.value());
-    if (!Answers || (Chosen && Weight <= Highest))
-      continue;
-    Chosen = Member;
-    Highest = Weight;
-  }
-  return Chosen;
+  std::vector<Endpoint> Answering;
+  for (const auto &[Member, State] : Shared_)
+    if (State.AnsweredAt &&
+        Needs_.Clock.now() - *State.AnsweredAt < MemberSilence)
+      Answering.push_back(Member);
+  return chooseByHash(Answering, [&](const Endpoint &Member) {
+    return Member.text() + Worker.value();
+  });
 }
 
 void JobService::tellHeard() {
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -2,6 +2,8 @@
 
 #include "jobs/internal/jobregister.h"
 
+#include "jobs/internal/rendezvous.h"
+
 namespace geraniumbay::jobs {
 
 namespace {
@@ -11,24 +13,13 @@
 /// 1.3 s: within this time they reach the run that goes on for them.
 constexpr Duration ClaimLasts = std::chrono::seconds(3);
 
-std::size_t scoreOf(const JobId &Id, const PoolName &Pool) {
-  return std::hash<std::string>()(Pool.value() + "/" + Id.value());
-}
-
 } // namespace
 
 std::optional<PoolName> homeOf(const JobId &Id,
                                const std::vector<PoolName> &Pools) {
-  std::optional<PoolName> Home;
-  std::size_t Highest = 0;
-  for (const PoolName &Pool : Pools) {
-    std::size_t Score = scoreOf(Id, Pool);
-    if (Home && Score <= Highest)
-      continue;
-    Home = Pool;
-    Highest = Score;
-  }
-  return Home;
+  return chooseByHash(Pools, [&](const PoolName &Pool) {
+    return Pool.value() + "/" + Id.value();
+  });
 }
 
 PoolName JobRegister::claim(const JobId &Id, const WaiterId &By,
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -57,9 +57,12 @@
   std::vector<PoolMember *> Near;
   std::vector<PoolMember *> Far;
   std::vector<PoolMember *> Result;
+  auto MayTake = [&](const PoolMember &In) {
+    return In.expectedWait(Wanted) && Without.count(In.name()) == 0 &&
+           !isEvacuated(In);
+  };
   for (const auto &[Name, In] : Pools_) {
-    if (!In->expectedWait(Wanted) || Without.count(Name) != 0 ||
-        isEvacuated(*In))
+    if (!MayTake(*In))
       continue;
     if (!firstStep(Wanted).PreferredRack.empty() &&
         lossAwayFromData(Wanted, *In).count() == 0)
@@ -70,8 +73,7 @@
       Near.push_back(In.get());
   }
   std::size_t Mix = mixOf(Wanted.Id);
-  if (Home && Home->expectedWait(Wanted) && Without.count(Home->name()) == 0 &&
-      !isEvacuated(*Home))
+  if (Home && MayTake(*Home))
     Result.push_back(Home);
   for (const auto *Group : {&Near, &Far})
     for (std::size_t I = 0; I < std::min(Weighed, Group->size()); ++I) {
