Wait for leases of workers that a new owner does not know

Cause: the restarted leader had led for 250 ms and knew one worker of three, as workers announce themselves one by one. All that it knew had answered, so it took over and started the tasks that none of them ran; they ran on the workers that it had not heard of, under leases of its earlier life. An entry that begins with a part of the list had the same gap for jobs that are handed in again.

Ruled out: the workers' fencing (the orders went to other workers), a lost stop (the stop came 4 ms after the start), the log (the job was there, as active).

Change: an owner takes over early only where it knows all workers. A leader does once all have had the time to announce themselves (3 s), or when the leader before knew them all and shared them in the last two seconds. Entries are told, and count on it for the leader's term and until they stand still. Else the longest lease has to end first.

Not closed: a worker that came less than a question of an entry (0.3 to 0.8 s) before its owner and leader were both lost.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -76,6 +76,7 @@
   /// How many tasks run under this entry's orders in evacuated data centres.
   Json::Value writeEvacuatedRunning() const;
   void takeWorkers(const Json::Value &Result);
+  void takeWorkerList(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
   void takeOwners(const Json::Value &Result);
   /// Forgets the lists of a leader before.
@@ -208,6 +209,8 @@
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
   std::uint64_t WorkersChange_ = 0;
+  /// The leader of ListsOf_ knows all workers, and this entry its list.
+  bool KnowsAllWorkers_ = false;
   bool FetchesDocument_ = false;
   bool FetchesWorkers_ = false;
   /// Data centres that are evacuated, and the last order that this covers.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -213,9 +213,9 @@
   std::unique_ptr<PoolMember> &Place = Pools_[Name];
   if (Place)
     return *Place;
-  PoolMemberNeeds Needs{Needs_.Workers,  Needs_.Clock, Needs_.Timers,
-                        Needs_.Measured, Lease_,       Peers_,
-                        Evacuated_};
+  PoolMemberNeeds Needs{Needs_.Workers,  Needs_.Clock,    Needs_.Timers,
+                        Needs_.Measured, Lease_,          Peers_,
+                        Evacuated_,      KnowsAllWorkers_};
   Place = std::make_unique<PoolMember>(Needs, Name, DataCentre, Self_);
   Place->view().Stopping = Stopping_;
   RanksDue_ = true;
@@ -223,6 +223,12 @@
 }
 
 void EntryJobs::takeWorkers(const Json::Value &Result) {
+  takeWorkerList(Result);
+  if (wire::isSet(Result, "all_workers"))
+    KnowsAllWorkers_ = true;
+}
+
+void EntryJobs::takeWorkerList(const Json::Value &Result) {
   if (!Result["workers"].isArray())
     return;
   WorkersOf_ = wire::numberOf(Result, "workers_of");
@@ -351,6 +357,7 @@
   OwnersChange_ = 0;
   LoadsChange_ = 0;
   LoadsAfter_.clear();
+  KnowsAllWorkers_ = false;
   for (const auto &[Name, In] : Pools_)
     In->dropReport();
 }
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -24,6 +24,9 @@
 
 /// How long a transient job may wait for its start if its entry does not say.
 constexpr Duration UsualPatience = std::chrono::seconds(1);
+/// A leader shares its workers every second. A list that is older than two of
+/// these may lack workers that have come since.
+constexpr Duration SharedListLasts = std::chrono::seconds(2);
 
 /// A request of an entry.
 struct Place {
@@ -132,6 +135,8 @@
   Term_ = Term;
   Shared_.clear();
   LeadsSince_ = Needs_.Clock.now();
+  InheritsAllWorkers_ =
+      AllSharedAt_ && LeadsSince_ - *AllSharedAt_ < SharedListLasts;
   if (!Term)
     return;
   logEvent(LogLevel::Info, Module, "leads",
@@ -147,6 +152,7 @@
                        [](FencingToken /*Token*/) {
                          // A later leader; this one hears of it by the log.
                        },
+                       [this] { return knowsAllWorkers(); },
                        &Needs_.Log,
                        Needs_.Store,
                        Evacuated_,
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -89,6 +89,9 @@
   void tellDocument(bool Any, Json::Value &Into) const;
   void document(const Json::Value &Params, const Reply &Answer);
   void workers(const Json::Value &Params, const Reply &Answer);
+  /// Whether all workers that run are known here: all have had the time to
+  /// announce themselves, or the leader before has shared its list.
+  bool knowsAllWorkers() const;
   /// Of a follower: lists what the leader has shared, where that is of use.
   bool listShared(const Json::Value &Params, Json::Value &Into) const;
   /// Whether the workers are too many for one pool. Until they are divided
@@ -138,6 +141,8 @@
   /// The term in which this VM leads.
   std::optional<control::LeaderTerm> Term_;
   Time LeadsSince_;
+  /// The leader before knew all workers and shared them until it ended.
+  bool InheritsAllWorkers_ = false;
   /// Of a leader with durable jobs.
   std::unique_ptr<Scheduler> Scheduler_;
   /// Entries, and when each was last heard.
@@ -178,6 +183,8 @@
   std::uint64_t SharedOf_ = 0;
   std::uint64_t SharedChange_ = 0;
   std::set<WorkerId> SharedWorkers_;
+  /// When a leader that knows all workers shared the last of them.
+  std::optional<Time> AllSharedAt_;
   /// The division by racks is on its way into the log.
   bool Dividing_ = false;
   /// How many workers there were when that number changed last.
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -135,6 +135,7 @@
                        [this](FencingToken Token) {
                          noteFenced(View_, Token, Needs_.Clock.now());
                        },
+                       [this] { return Needs_.KnowsAllWorkers; },
                        nullptr,
                        NoDurableJobs_,
                        Needs_.Evacuated,
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -24,6 +24,8 @@
   const PeerTable &Peers;
   /// Data centres that are evacuated.
   const std::set<DataCentreId> &Evacuated;
+  /// Whether control has told of all workers.
+  const bool &KnowsAllWorkers;
 };
 
 class PoolMember {
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -40,6 +40,8 @@
   if (Gap < LongPause)
     return;
   PausedUntil_ = Now;
+  // Workers may have come meanwhile.
+  KnowsAllWorkers_ = false;
   std::vector<AskPtr> Unsent;
   for (const AskPtr &What : Asks_)
     if (!What->SentTo)
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -286,7 +286,7 @@
 }
 
 void Scheduler::takeOverIfAllKnown() {
-  if (TakenOver_ || Sessions_.empty())
+  if (TakenOver_ || Sessions_.empty() || !Needs_.KnowsAllWorkers())
     return;
   for (const auto &[Worker, With] : Sessions_)
     if (!With.Known || With.Foreign)
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -40,6 +40,9 @@
   std::function<bool()> MayOrder;
   /// Called when a worker refuses an order with this token: it obeys another.
   std::function<void(FencingToken)> Fenced;
+  /// Whether the workers taken so far include each one that an earlier owner
+  /// may have used. If not, only time tells that its leases are over.
+  std::function<bool()> KnowsAllWorkers;
   /// The log of durable jobs; null where only transient jobs are scheduled.
   control::IReplicatedLog *Log;
   /// The durable jobs; empty where there is no log.
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -49,7 +49,8 @@
 /// Workers announce themselves within two seconds of their start; when none has
 /// come for so long, all have.
 constexpr Duration WorkersSettle = std::chrono::milliseconds(800);
-/// Where workers come and go all the time nothing is waited for any longer.
+/// Where workers come and go all the time nothing is waited for any longer. By
+/// then each has announced itself, also one whose first control VM was silent.
 constexpr Duration LongestSettling = std::chrono::seconds(3);
 
 RackGroups groupAllRacks(const WorkerDirectory &Directory) {
@@ -240,7 +241,12 @@
   auto Change =
       attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
   bool SameTerm = Of && Change && *Of == Term_->value();
-  if ((SameTerm && *Change == Directory_.Changes) || isToBeDivided())
+  if (isToBeDivided())
+    return;
+  bool Current = SameTerm && *Change == Directory_.Changes;
+  if (Current && knowsAllWorkers())
+    Into["all_workers"] = true;
+  if (Current)
     return;
   DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
   if (!Any && News.Changed.size() > MaxWorkersInSync) {
@@ -256,6 +262,11 @@
     Into["removed"].append(Each.value());
 }
 
+bool JobService::knowsAllWorkers() const {
+  return InheritsAllWorkers_ ||
+         (Term_ && Needs_.Clock.now() - LeadsSince_ >= LongestSettling);
+}
+
 bool JobService::isToBeDivided() const {
   return Needs_.Store.Plan == PoolPlan::One &&
          Directory_.Workers.size() > MaxWorkersOfOnePool;
@@ -310,6 +321,8 @@
     Params["leader"] = Own->text();
   Params["since"] = Json::UInt64(News.Whole ? 0 : State.Upto);
   Params["workers_change"] = Json::UInt64(News.Upto);
+  if (knowsAllWorkers() && News.Upto == Directory_.Changes)
+    Params["all_workers"] = true;
   for (const KnownWorker *Each : News.Changed)
     Params["workers"].append(write(Each->Info));
   for (const WorkerId &Each : News.Removed)
@@ -377,6 +390,8 @@
       noteUnknown(Relay_, WorkerId(Each.asString()));
     }
   confirmWorkers(Directory_, SharedWorkers_, Now);
+  if (wire::isSet(Params, "all_workers"))
+    AllSharedAt_ = Now;
   Answer(std::move(Result));
 }
 
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -148,7 +148,8 @@
 void Scheduler::releaseUnsettled(Time Now) {
   if (Unsettled_.empty())
     return;
-  Time LeastLooked = Now;
+  // A worker that is not known here may still run tasks of these jobs.
+  Time LeastLooked = Needs_.KnowsAllWorkers() ? Now : Time();
   for (const auto &[Worker, With] : Sessions_)
     LeastLooked = std::min(LeastLooked, With.LookedAt);
   std::vector<JobId> Settled;
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -118,6 +118,8 @@
         Result["ready"] = true;
         Result["schedules"] = false;
         Result["by_rack"] = ByRack;
+        Result["lists_of"] = 1;
+        Result["all_workers"] = !ListIsPartial;
         const Json::Value &Owned = Params["owned"];
         if (Owned.isObject())
           for (const std::string &Name : Owned.getMemberNames())
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -95,6 +95,8 @@
 
   /// Control has divided the workers by racks, two in each data centre.
   bool ByRack = false;
+  /// Control does not know all workers yet.
+  bool ListIsPartial = false;
 
   void run(Duration For);
   /// Runs until one entry owns the pool and all others follow it.
