Revoke orders that get no answer, in place of waiting for their lease

Pattern: workers leave a part of the orders unanswered and carry them out late. An order to an idle worker carries a whole lease and is valid for a second, so that its task was started elsewhere after a second only: too late to be of use for a task of 60 or 200 ms.

Way before: wait until the order is invalid. Way kept: after the time in which orders are answered, ask the worker; where it does not show the run, stop it, and once the stop is acknowledged ask again. From then on the order can do nothing, and the task starts elsewhere.

Orders to start have a file of their own; scheduler tests share a fixture.

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -229,7 +229,7 @@
   bool mayHaveEarlierRun(const Job &Of) const;
   void tick();
 
-  // Placement (placement.cpp).
+  // Placement (placement.cpp), orders to start (startorders.cpp).
   void scheduleSoon();
   void schedule();
   WorkerSession *bestWorker(const WaitingTask &Task, Time Now);
@@ -247,6 +247,16 @@
   };
   /// Asks the worker what became of an order that it has not answered.
   void checkStart(const WorkerId &Worker, const TaskId &Task, RunNumber Number);
+  /// The same for an order that is still valid: one that the worker does not
+  /// show is revoked.
+  void settleStart(const WorkerId &Worker, const TaskId &Task,
+                   RunNumber Number);
+  void revokeStart(const WorkerId &Worker, const TaskId &Task,
+                   RunNumber Number);
+  bool isUnanswered(const WorkerId &Worker, const TaskId &Task,
+                    RunNumber Number);
+  static void noteUnanswered(const WorkerId &Worker, const TaskId &Task,
+                             RunNumber Number);
   void started(const WorkerId &Worker, const StartOrder &Order, Time Sent,
                const StartAnswer &Answer);
   void noteTiming(const WorkerSession &On, Time Sent,
@@ -276,8 +286,9 @@
   // Conversations with workers (workerwatch.cpp).
   void hold(WorkerSession &With);
   void holdLater(const WorkerId &Worker);
-  /// Asks what runs there, beside the hold that may be under way.
-  void look(WorkerSession &With);
+  /// Asks what runs there, beside the hold that may be under way, and calls
+  /// \p Then once the answer is taken.
+  void look(WorkerSession &With, std::function<void()> Then = nullptr);
   void held(const WorkerId &Worker, const Sent &Order,
             const Outcome<HoldAnswer> &Answer);
   void takeAnswer(WorkerSession &On, Time Sent, const HoldAnswer &Answer);
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -98,20 +98,23 @@
       });
 }
 
-void Scheduler::look(WorkerSession &With) {
+void Scheduler::look(WorkerSession &With, std::function<void()> Then) {
   if (!Needs_.MayOrder())
     return;
   HoldOrder Order;
   Order.Token = Token_;
   Order.LastSeenEnd = With.RecordedEnd;
-  Needs_.Workers.hold(
-      {With.Info.Worker, With.Info.At}, Order,
-      [this, Alive = Alive_, Worker = With.Info.Worker,
-       Sent = Needs_.Clock.now()](const Outcome<HoldAnswer> &Answer) {
-        WorkerSession *On = *Alive ? session(Worker) : nullptr;
-        if (On && Answer)
-          takeAnswer(*On, Sent, *Answer);
-      });
+  Needs_.Workers.hold({With.Info.Worker, With.Info.At}, Order,
+                      [this, Alive = Alive_, Worker = With.Info.Worker,
+                       Sent = Needs_.Clock.now(), Then = std::move(Then)](
+                          const Outcome<HoldAnswer> &Answer) {
+                        WorkerSession *On = *Alive ? session(Worker) : nullptr;
+                        if (!On || !Answer)
+                          return;
+                        takeAnswer(*On, Sent, *Answer);
+                        if (Then)
+                          Then();
+                      });
 }
 
 void Scheduler::takeAnswer(WorkerSession &On, Time Sent,
--- a/src/jobs/iworkercalls.h
+++ b/src/jobs/iworkercalls.h
@@ -107,12 +107,22 @@
 /// Sends orders. Callbacks run once, never before the function returns.
 class IWorkerCalls {
 public:
+  using StopCallback = std::function<void(std::optional<WorkerMillis>)>;
+
   virtual ~IWorkerCalls() = default;
 
   virtual void start(const WorkerTarget &To, const StartOrder &Order,
                      std::function<void(StartAnswer)> Done) = 0;
-  /// Best effort: what came of it shows in a later hold.
-  virtual void stop(const WorkerTarget &To, const StopOrder &Order) = 0;
+  /// What came of the run shows in a later hold. \p Done gets the worker's
+  /// clock when it took the order, from when on the run cannot start any more;
+  /// nothing if that is not known.
+  virtual void stop(const WorkerTarget &To, const StopOrder &Order,
+                    StopCallback Done) = 0;
+  void stop(const WorkerTarget &To, const StopOrder &Order) {
+    stop(To, Order, [](std::optional<WorkerMillis> /*At*/) {
+      // It is sent again while the run is still there.
+    });
+  }
   /// NotFound: another incarnation answered. Conflict: a later leader has the
   /// worker. Anything else: no usable answer.
   virtual void hold(const WorkerTarget &To, const HoldOrder &Order,
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -161,15 +161,16 @@
   return Answer;
 }
 
-void FakeWorkers::stop(Worker &At, const StopOrder &Order) {
+bool FakeWorkers::stop(Worker &At, const StopOrder &Order) {
   checkLease(At);
   if (Order.Token < At.Token)
-    return;
+    return false;
   At.Token = Order.Token;
   auto Found = At.Tasks.find(Order.Task);
   if (Found != At.Tasks.end() && Found->second.Number <= Order.Run)
     end(At, Order.Task, EndKind::Other);
   At.Ended[Order.Task] = std::max(At.Ended[Order.Task], Order.Run);
+  return true;
 }
 
 Outcome<HoldAnswer> FakeWorkers::look(Worker &At, const HoldOrder &Order) {
@@ -221,9 +222,15 @@
   });
 }
 
-void FakeWorkerCalls::stop(const WorkerTarget &To, const StopOrder &Order) {
-  deliver(To, [this, Order](FakeWorkers::Worker &At, bool /*Answers*/) {
-    All_.stop(At, Order);
+void FakeWorkerCalls::stop(const WorkerTarget &To, const StopOrder &Order,
+                           StopCallback Done) {
+  auto Finish = once<std::optional<WorkerMillis>>(All_.Timers_, std::move(Done),
+                                                  CallTimeout, std::nullopt);
+  deliver(To, [this, Order, To, Finish](FakeWorkers::Worker &At, bool Answers) {
+    if (At.Down || !All_.stop(At, Order) || !Answers ||
+        All_.Faults_.isCut(Host_, To.At.Address))
+      return;
+    All_.Timers_.after(Way, [Finish, Now = All_.clockNow()] { Finish(Now); });
   });
 }
 
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -90,7 +90,8 @@
   };
 
   StartAnswer start(Worker &At, const StartOrder &Order);
-  void stop(Worker &At, const StopOrder &Order);
+  /// Returns whether the worker obeys.
+  bool stop(Worker &At, const StopOrder &Order);
   Outcome<HoldAnswer> look(Worker &At, const HoldOrder &Order);
   void extend(Worker &At, WorkerMillis Until);
   void end(Worker &At, const TaskId &Task, EndKind How);
@@ -122,7 +123,9 @@
 
   void start(const WorkerTarget &To, const StartOrder &Order,
              std::function<void(StartAnswer)> Done) override;
-  void stop(const WorkerTarget &To, const StopOrder &Order) override;
+  using IWorkerCalls::stop;
+  void stop(const WorkerTarget &To, const StopOrder &Order,
+            StopCallback Done) override;
   void hold(const WorkerTarget &To, const HoldOrder &Order,
             std::function<void(Outcome<HoldAnswer>)> Done) override;
 
--- a/src/jobs/tests/takeovertest.cpp
+++ b/src/jobs/tests/takeovertest.cpp
@@ -8,72 +8,16 @@
 //===----------------------------------------------------------------------===//
 
 #include "jobs/internal/jobmessages.h"
-#include "jobs/internal/scheduler.h"
-#include "jobs/tests/controlfake.h"
-
-#include <gtest/gtest.h>
+#include "jobs/tests/schedulerfake.h"
 
 namespace geraniumbay::jobs {
 namespace {
 
 using namespace std::chrono_literals;
 
-/// Two workers, and owners that follow each other over one log.
-class TakeOverTest : public testing::Test {
+class TakeOverTest : public SchedulerFake {
 protected:
-  TakeOverTest() {
-    First = Workers.add("10.1.1.1", "a", 2000);
-    Second = Workers.add("10.1.1.2", "a", 2000);
-    Workers.TaskTime = 3s;
-  }
-
-  std::unique_ptr<Scheduler> owner(std::uint64_t Token, bool KnowsAllWorkers,
-                                   const std::vector<WorkerInfo> &Known) {
-    SchedulerNeeds Needs{[] { return true; },
-                         [](FencingToken /*Token*/) {},
-                         [KnowsAllWorkers] { return KnowsAllWorkers; },
-                         &Log,
-                         Log.Jobs.store(),
-                         Evacuated,
-                         Calls,
-                         Clock,
-                         Timers,
-                         Measured};
-    auto Result = std::make_unique<Scheduler>(
-        std::move(Needs), FencingToken(Token), LeaseSettings());
-    announceTo(*Result, Known);
-    return Result;
-  }
-
-  void announceTo(Scheduler &Owner, const std::vector<WorkerInfo> &Known) {
-    for (const WorkerInfo &Each : Known)
-      announce(Directory, Each, Clock.now());
-    Owner.takeWorkers(Directory);
-  }
-
-  void run(Duration For) {
-    for (Time End = Clock.now() + For; Clock.now() < End;) {
-      Clock.advance(1ms);
-      while (Timers.runDue() != 0) {
-        // What a callback makes due at once runs in this millisecond too.
-      }
-    }
-  }
-
-  Job job(bool Transient) const {
-    Job New;
-    New.Id = JobId("job");
-    New.Service = First.Service;
-    New.MaxFailures = 3;
-    New.Spec.Transient = Transient;
-    StepSpec Step;
-    Step.Count = 1;
-    Step.Needs.CpuMillis = 1000;
-    Step.Estimate = 100ms;
-    New.Spec.Steps = {Step};
-    New.Tasks = {{TaskRecord()}};
-    return New;
-  }
+  TakeOverTest() { Workers.TaskTime = 3s; }
 
   /// The job runs on the first worker, and its owner is lost.
   void startAndLoseOwner(bool Transient) {
@@ -88,18 +32,6 @@
     ASSERT_EQ(Workers.Starts, 1U);
     Directory = WorkerDirectory();
   }
-
-  ManualClock Clock;
-  TimerQueue Timers{Clock};
-  WorkerFaults Faults;
-  FakeWorkers Workers{Clock, Timers, Faults};
-  FakeWorkerCalls Calls{Workers, "10.0.1.1"};
-  Metrics Measured;
-  FakeLog Log{Timers, {"10.0.9.1", 7000}};
-  std::set<DataCentreId> Evacuated;
-  WorkerDirectory Directory;
-  WorkerInfo First;
-  WorkerInfo Second;
 };
 
 TEST_F(TakeOverTest, AStoredJobIsLeftToAWorkerThatIsNotKnownYet) {
