Tell a new leader's lists to those who lack them only

The leader's turns get long, its lease runs out, and the next one meets the same. An entry whose follower was slow turned to the leader.

Ruled out: the load of announcements (the leader is at a third of its share in calm seconds), the disks (0.6 syncs a second).

Change: entries ask for the workers of data centres whose pools they may own; with a new leader they send digests of the workers and entries that they know, and are told that these are the same; entries that come are told as changes; a new leader names the entries once as many have asked as the asker knew; a slow control VM is not replaced by the leader. Entries also forget workers that left while no leader told of it, which a whole list lets them see.

--- a/src/jobs/internal/announcementrelay.cpp
+++ b/src/jobs/internal/announcementrelay.cpp
@@ -6,30 +6,8 @@
 
 #include "jobs/internal/announcementrelay.h"
 
-#include <boost/container_hash/hash.hpp>
-
 namespace geraniumbay::jobs {
 
-namespace {
-
-/// Of all that schedulers must hear of.
-std::size_t digestOf(const WorkerInfo &Info) {
-  std::size_t Digest = 0;
-  auto Add = [&](const auto &Value) { boost::hash_combine(Digest, Value); };
-  Add(Info.At.text());
-  Add(Info.Service.value());
-  Add(Info.DataCentre.value());
-  Add(Info.Capacity.CpuMillis);
-  Add(Info.Capacity.MemoryMb);
-  Add(Info.Capacity.Gpus);
-  Add(Info.Draining);
-  for (const std::string &Label : Info.Labels)
-    Add(Label);
-  return Digest;
-}
-
-} // namespace
-
 void followLeader(AnnouncementRelay &Relay,
                   const std::optional<Endpoint> &Leader) {
   if (Leader == Relay.Leader)
--- a/src/jobs/internal/announcementrelay.h
+++ b/src/jobs/internal/announcementrelay.h
@@ -22,7 +22,7 @@
   std::optional<Endpoint> Leader;
   /// What the leader is known to have of each worker, as a digest. It may have
   /// lost what a leader before it had.
-  std::unordered_map<WorkerId, std::size_t> Known;
+  std::unordered_map<WorkerId, std::uint64_t> Known;
   /// Workers heard here since the leader was told.
   std::set<WorkerId> Heard;
 };
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -77,6 +77,17 @@
   Json::Value writeEvacuatedRunning() const;
   void takeWorkers(const Json::Value &Result);
   void takeWorkerList(const Json::Value &Result);
+  /// Returns the pool that it was in, or null.
+  PoolMember *forgetWorker(const WorkerId &Worker);
+  /// The data centres whose pools this entry may own.
+  std::set<DataCentreId> dataCentresWanted() const;
+  /// Asks for the workers of those from now on.
+  void wantDataCentres();
+  /// What this entry has of the list of workers.
+  void writeWorkersKnown(Json::Value &Params) const;
+  /// Takes what \p Result says of other entries; returns whether it is
+  /// anything.
+  bool tellsEntries(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
   void takeOwners(const Json::Value &Result);
   /// Forgets the lists of a leader before.
@@ -209,6 +220,10 @@
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
   std::uint64_t WorkersChange_ = 0;
+  /// The data centres whose workers it covers; none stands for all.
+  std::set<DataCentreId> WorkersIn_;
+  /// Questions for long lists that got no answer; another VM is asked next.
+  std::size_t FetchesLost_ = 0;
   /// The leader of ListsOf_ knows all workers, and this entry its list.
   bool KnowsAllWorkers_ = false;
   bool FetchesDocument_ = false;
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -48,10 +48,17 @@
   Params["configuration"] = Json::UInt64(RoutingFrom_.value());
   if (Plan_ == PoolPlan::ByRack)
     Params["by_rack"] = true;
-  Params["workers_of"] = Json::UInt64(WorkersOf_);
-  Params["workers_change"] = Json::UInt64(WorkersChange_);
+  writeWorkersKnown(Params);
   Params["lists_of"] = Json::UInt64(ListsOf_);
   Params["entries_change"] = Json::UInt64(EntriesChange_);
+  if (EntriesChange_ == 0 && !ToldEntries_.empty()) {
+    // A new leader may have the same list.
+    Params["entries_known"] = Json::UInt64(ToldEntries_.size());
+    std::uint64_t Digest = 0;
+    for (const EntryPlace &Each : ToldEntries_)
+      Digest ^= digestOf(Each);
+    Params["entries_digest"] = Json::UInt64(Digest);
+  }
   Params["owners_change"] = Json::UInt64(OwnersChange_);
   Params["loads_change"] = Json::UInt64(LoadsChange_);
   Params["loads_after"] = LoadsAfter_;
@@ -70,6 +77,7 @@
   followLists(Result);
   takeEntryList(Result);
   takePlan(Result);
+  wantDataCentres();
   takeEvacuations(Result);
   takeWorkers(Result);
   rankCandidates();
@@ -83,7 +91,7 @@
 }
 
 Endpoint EntryJobs::sourceOfLists() const {
-  return Control_.spread(std::hash<std::string>()(Self_.text()));
+  return Control_.spread(std::hash<std::string>()(Self_.text()) + FetchesLost_);
 }
 
 void EntryJobs::fetchDocument(const Endpoint &From,
@@ -103,31 +111,6 @@
                  OrElse ? SpreadFetchTimeout : FetchTimeout, std::move(Took));
 }
 
-void EntryJobs::fetchWorkers(const Endpoint &From,
-                             const std::optional<Endpoint> &OrElse) {
-  if (FetchesWorkers_)
-    return;
-  FetchesWorkers_ = true;
-  Json::Value Params(Json::objectValue);
-  Params["workers_of"] = Json::UInt64(WorkersOf_);
-  Params["workers_change"] = Json::UInt64(WorkersChange_);
-  Params["evacuations_change"] = Json::UInt64(EvacuationsKnown_.value());
-  Params["lists_of"] = Json::UInt64(ListsOf_);
-  Control_.fetch(From, wire::method::Workers, std::move(Params),
-                 OrElse ? SpreadFetchTimeout : FetchTimeout,
-                 [this, OrElse](const Outcome<Json::Value> &Result) {
-                   FetchesWorkers_ = false;
-                   if (Result) {
-                     takeEvacuations(*Result);
-                     takeWorkers(*Result);
-                     rankCandidates();
-                   }
-                   bool Told = Result && (*Result)["workers"].isArray();
-                   if (!Told && OrElse)
-                     fetchWorkers(*OrElse, std::nullopt);
-                 });
-}
-
 void EntryJobs::takeDocument(const Json::Value &Result) {
   ConfigVersion Version(wire::numberOf(Result, "configuration"));
   if (Version <= RoutingFrom_ || !Result["document"].isString())
@@ -168,6 +151,11 @@
                Known.Heard);
       WorkerPools_[Id] = New;
     }
+  // Of other data centres this entry hears the pools only.
+  for (const auto &[DataCentre, Racks] : Groups_)
+    for (const auto &[Rack, Group] : Racks)
+      if (DataCentre != DataCentre_)
+        memberOf(poolOfRack(Groups_, DataCentre, Rack), DataCentre);
 }
 
 void EntryJobs::takeEvacuations(const Json::Value &Result) {
@@ -208,65 +196,23 @@
   return Result;
 }
 
-PoolMember &EntryJobs::memberOf(const PoolName &Name,
-                                const DataCentreId &DataCentre) {
-  std::unique_ptr<PoolMember> &Place = Pools_[Name];
-  if (Place)
-    return *Place;
-  PoolMemberNeeds Needs{Needs_.Workers,  Needs_.Clock,    Needs_.Timers,
-                        Needs_.Measured, Lease_,          Peers_,
-                        Evacuated_,      KnowsAllWorkers_};
-  Place = std::make_unique<PoolMember>(Needs, Name, DataCentre, Self_);
-  Place->view().Stopping = Stopping_;
-  RanksDue_ = true;
-  return *Place;
-}
-
-void EntryJobs::takeWorkers(const Json::Value &Result) {
-  takeWorkerList(Result);
-  if (wire::isSet(Result, "all_workers"))
-    KnowsAllWorkers_ = true;
-}
-
-void EntryJobs::takeWorkerList(const Json::Value &Result) {
-  if (!Result["workers"].isArray())
-    return;
-  WorkersOf_ = wire::numberOf(Result, "workers_of");
-  WorkersChange_ = wire::numberOf(Result, "workers_change");
-  Time Now = Needs_.Clock.now();
-  std::set<PoolMember *> Changed;
-  for (const Json::Value &Each : Result["workers"]) {
-    auto Info = attempt([&] { return readWorker(Each); });
-    if (!Info)
-      continue;
-    PoolName Name = poolOf(Plan_, Groups_, *Info);
-    PoolMember &In = memberOf(Name, Info->DataCentre);
-    announce(In.directory(), *Info, Now);
-    WorkerPools_[Info->Worker] = Name;
-    Changed.insert(&In);
-  }
-  for (const Json::Value &Each : Result["removed"]) {
-    if (!Each.isString())
-      continue;
-    auto Found = WorkerPools_.find(WorkerId(Each.asString()));
-    PoolMember *In =
-        Found == WorkerPools_.end() ? nullptr : findPool(Found->second);
-    if (!In)
-      continue;
-    removeWorker(In->directory(), Found->first);
-    Changed.insert(In);
-    WorkerPools_.erase(Found);
+bool EntryJobs::tellsEntries(const Json::Value &Result) {
+  if (Result["entries"].isArray()) {
+    ToldEntries_ = readEntries(Result["entries"]);
+    return true;
   }
-  for (PoolMember *In : Changed)
-    In->workersChanged();
+  for (EntryPlace &Each : readEntries(Result["entries_new"]))
+    if (std::find(ToldEntries_.begin(), ToldEntries_.end(), Each) ==
+        ToldEntries_.end())
+      ToldEntries_.push_back(std::move(Each));
+  return Result.isMember("entries_new") || wire::isSet(Result, "entries_same");
 }
 
 void EntryJobs::takeEntryList(const Json::Value &Result) {
   Time Now = Needs_.Clock.now();
-  if (Result["entries"].isArray())
-    ToldEntries_ = readEntries(Result["entries"]);
-  else if (!isCurrent(Result, "entries_change", EntriesChange_) ||
-           Now - EntriesNamed_ < NamedAgainAfter)
+  bool Again = isCurrent(Result, "entries_change", EntriesChange_) &&
+               Now - EntriesNamed_ >= NamedAgainAfter;
+  if (!tellsEntries(Result) && !Again)
     return;
   EntriesChange_ = wire::numberOf(Result, "entries_change");
   EntriesNamed_ = Now;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -8,24 +8,25 @@
 //   jobs.cancel  {host, path} -> answer
 //   jobs.pending {host, path} -> answer
 //   jobs.sync    {entry, data_centre, configuration, workers_of,
-//                 workers_change, lists_of, entries_change, owners_change,
-//                 loads_change, loads_after?, evacuations_change,
-//                 evacuated_running?: {DATA_CENTRE: tasks}, by_rack?, owned?:
-//                 {POOL: REPORT}}
+//                 workers_change, workers_in?, workers_digest?, lists_of,
+//                 entries_change, entries_known?, entries_digest?,
+//                 owners_change, loads_change, loads_after?,
+//                 evacuations_change, evacuated_running?: {DATA_CENTRE: tasks},
+//                 by_rack?, owned?: {POOL: REPORT}}
 //     -> {leader, ready, members, schedules, configuration?, document?,
 //         large_document?, workers_of?, workers_change?, workers?, removed?,
-//         many_workers?, evacuations?, ask_after_us?, lists_of?,
-//         entries_change?,
-//         entries?: [{at, data_centre}], by_rack?,
-//         rack_groups?: {DATA_CENTRE: {RACK: GROUP}}, owners_change?,
-//         loads_after?, owners?: {POOL: REPORT, or null where the owner is
-//         silent}}
+//         many_workers?, all_workers?, no_others?, evacuations?, ask_after_us?,
+//         lists_of?, entries_change?, entries?: [{at, data_centre}],
+//         entries_new?, entries_same?, by_rack?, rack_groups?: {DATA_CENTRE:
+//         {RACK: GROUP}}, owners_change?, loads_after?, owners?: {POOL: REPORT,
+//         or null where the owner is silent}}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers, entries and owners. What is large is named only. REPORT is
 //     owner, token, load; pools whose load alone has changed are told some at a
 //     time, in the order of their names, up to loads_after
 //   jobs.document {} -> {configuration, document}; any control VM has it
-//   jobs.workers {workers_of, workers_change, lists_of, evacuations_change}
+//   jobs.workers {workers_of, workers_change, workers_in?, workers_digest?,
+//                 lists_of, evacuations_change}
 //     -> {workers_of, workers_change, workers, removed?, evacuations?}
 //     or {leader}; a follower has the whole list of its leader's term lists_of
 //   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, sent_us,
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -75,6 +75,8 @@
   /// What has changed for the entry that asks.
   void tellEntry(const Json::Value &Params, Json::Value &Into);
   void tellEntries(const Json::Value &Params, Json::Value &Into);
+  /// Whether the entries that the asker knows have had the time to ask.
+  bool haveEntriesAsked(const Json::Value &Params) const;
   struct OwnerWord;
   void noteOwner(const PoolName &Name, const Json::Value &Claim, Time Now);
   void changeOwner(OwnerWord &Known, const Json::Value &Claim);
@@ -145,8 +147,13 @@
   bool InheritsAllWorkers_ = false;
   /// Of a leader with durable jobs.
   std::unique_ptr<Scheduler> Scheduler_;
-  /// Entries, and when each was last heard.
-  std::map<EntryPlace, Time> Entries_;
+  struct EntryWord {
+    Time Heard;
+    /// The number of the change by which it came.
+    std::uint64_t ChangedAt = 0;
+  };
+  /// The entries that have asked lately.
+  std::map<EntryPlace, EntryWord> Entries_;
   /// What an entry said last of the evacuations: which it knows of, and how
   /// many tasks run in evacuated data centres under its orders.
   struct EvacuationWord {
@@ -159,6 +166,9 @@
   std::set<DataCentreId> Evacuated_;
   /// Counts the changes of this list, and of the next one.
   std::uint64_t EntriesChange_ = 0;
+  /// The last change by which an entry went: who has not heard of it is told
+  /// all anew.
+  std::uint64_t EntryGoneAt_ = 0;
   std::uint64_t OwnersChange_ = 0;
   /// What the owner of a pool said last, and when; null once it is silent.
   struct OwnerWord {
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -41,6 +41,7 @@
   Scheduler *scheduler() { return Scheduler_.get(); }
   const Scheduler *scheduler() const { return Scheduler_.get(); }
   WorkerDirectory &directory() { return Directory_; }
+  const WorkerDirectory &directory() const { return Directory_; }
 
   /// Whether this entry may own the pool.
   bool isCandidate() const { return Candidate_; }
--- a/src/jobs/internal/pools.cpp
+++ b/src/jobs/internal/pools.cpp
@@ -9,6 +9,7 @@
 #include "jobs/internal/jobmessages.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <cmath>
 
 namespace geraniumbay::jobs {
@@ -44,6 +45,13 @@
   return poolOfRack(Groups, Worker.DataCentre, Worker.Rack);
 }
 
+std::uint64_t digestOf(const EntryPlace &Place) {
+  std::size_t Digest = 0;
+  boost::hash_combine(Digest, Place.At.text());
+  boost::hash_combine(Digest, Place.DataCentre.value());
+  return Digest;
+}
+
 std::vector<Endpoint> candidatesFor(PoolPlan Plan,
                                     const DataCentreId &DataCentre,
                                     const std::vector<EntryPlace> &Entries) {
--- a/src/jobs/internal/pools.h
+++ b/src/jobs/internal/pools.h
@@ -43,6 +43,9 @@
   bool operator==(const EntryPlace &) const = default;
 };
 
+/// Processes of one build agree on it.
+std::uint64_t digestOf(const EntryPlace &Place);
+
 /// Who may own a pool: the entries of its data centre, or all where it has
 /// none or there is one pool only. Sorted by address.
 std::vector<Endpoint> candidatesFor(PoolPlan Plan,
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -1,9 +1,8 @@
 //===- servicesync.cpp - What a control VM tells entries ------------------===//
 //
 // The answer to the question that each entry asks again and again: the leader,
-// the configuration, the entries, the owners of pools and the workers, each as
-// what has changed since the entry was told last. Control VMs tell each other
-// in the same way which workers there are.
+// the configuration, the entries and the owners of pools, each as what has
+// changed since the entry was told last. Workers are told in workerlists.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -21,19 +20,15 @@
 namespace {
 
 constexpr const char *Module = "jobs";
-/// How often the leader tells the others which workers there are: a new leader
-/// then knows them before they announce themselves again.
-constexpr Duration ShareInterval = std::chrono::seconds(1);
-constexpr Duration ShareTimeout = std::chrono::seconds(1);
-/// In one message: some 40 KB, which a VM with half a core writes and reads
-/// within a few milliseconds.
-constexpr std::size_t MostWorkersShared = 200;
-
 /// An entry that has not asked for so long is gone.
 constexpr Duration EntrySilence = std::chrono::seconds(60);
 /// A new leader names the entries once all have had the time to ask: by a part
 /// of the list several of them would take themselves for the first.
 constexpr Duration EntriesDelay = std::chrono::milliseconds(300);
+/// Where one that is known does not ask, it is waited for no longer than this:
+/// the longest pause between two questions of an entry, and some time to find
+/// the leader.
+constexpr Duration LongestEntriesDelay = std::chrono::seconds(1);
 /// An owner of a pool says so with every question, several times a second.
 constexpr Duration OwnerWordLasts = std::chrono::seconds(2);
 /// What comes with the answer to an entry's frequent question. Larger things
@@ -41,7 +36,6 @@
 /// document of a thousand queues to forty entries within the 400 ms after which
 /// they ask again, and would be asked again for ever.
 constexpr std::size_t MaxDocumentInSync = std::size_t{16} << 10U;
-constexpr std::size_t MaxWorkersInSync = 50;
 /// Pools whose load alone has changed. In a large group nearly all loads change
 /// between two questions; entries weigh a few pools at a time.
 constexpr std::size_t MostLoadsInSync = 16;
@@ -49,8 +43,7 @@
 /// Workers announce themselves within two seconds of their start; when none has
 /// come for so long, all have.
 constexpr Duration WorkersSettle = std::chrono::milliseconds(800);
-/// Where workers come and go all the time nothing is waited for any longer. By
-/// then each has announced itself, also one whose first control VM was silent.
+/// Where workers come and go all the time nothing is waited for any longer.
 constexpr Duration LongestSettling = std::chrono::seconds(3);
 
 RackGroups groupAllRacks(const WorkerDirectory &Directory) {
@@ -86,22 +79,26 @@
   Time Now = Needs_.Clock.now();
   auto At = attempt([&] { return wire::readEndpoint(Params, "entry"); });
   auto Where = attempt([&] { return json::readString(Params, "data_centre"); });
-  bool New = At && Where &&
-             Entries_.insert_or_assign({*At, DataCentreId(*Where)}, Now).second;
+  if (At && Where) {
+    EntryWord &Known = Entries_[{*At, DataCentreId(*Where)}];
+    Known.Heard = Now;
+    if (Known.ChangedAt == 0)
+      Known.ChangedAt = ++EntriesChange_;
+  }
   if (At && Where)
     takeEvacuationWord(Params, {*At, DataCentreId(*Where)});
   std::size_t Gone = std::erase_if(Entries_, [&](const auto &Entry) {
-    return Now - Entry.second >= EntrySilence;
+    return Now - Entry.second.Heard >= EntrySilence;
   });
+  if (Gone != 0)
+    EntryGoneAt_ = ++EntriesChange_;
   if (Gone != 0)
     std::erase_if(EvacuationWords_, [&](const auto &Word) {
       return std::none_of(
           Entries_.begin(), Entries_.end(),
           [&](const auto &Entry) { return Entry.first.At == Word.first; });
     });
-  if (New || Gone != 0)
-    ++EntriesChange_;
-  if (Now - LeadsSince_ >= EntriesDelay)
+  if (haveEntriesAsked(Params))
     tellEntries(Params, Into);
   Into["by_rack"] = Needs_.Store.Plan == PoolPlan::ByRack;
   if (!wire::isSet(Params, "by_rack") && !Needs_.Store.Groups.empty())
@@ -116,18 +113,35 @@
   return Term_ && wire::numberOf(Params, "lists_of") == Term_->value();
 }
 
+bool JobService::haveEntriesAsked(const Json::Value &Params) const {
+  Duration Led = Needs_.Clock.now() - LeadsSince_;
+  bool AllKnown = Entries_.size() >= wire::numberOf(Params, "entries_known");
+  return Led >= LongestEntriesDelay || (Led >= EntriesDelay && AllKnown);
+}
+
 void JobService::tellEntries(const Json::Value &Params, Json::Value &Into) {
   Into["lists_of"] = Json::UInt64(Term_->value());
   Into["entries_change"] = Json::UInt64(EntriesChange_);
-  if (isOfThisTerm(Params) &&
-      wire::numberOf(Params, "entries_change") == EntriesChange_)
+  std::uint64_t Since =
+      isOfThisTerm(Params) ? wire::numberOf(Params, "entries_change") : 0;
+  if (Since == EntriesChange_)
     return;
-  for (const auto &[Place, Heard] : Entries_) {
+  bool Whole = Since == 0 || Since < EntryGoneAt_;
+  std::uint64_t Digest = 0;
+  Json::Value Told(Json::arrayValue);
+  for (const auto &[Place, Known] : Entries_) {
+    Digest ^= digestOf(Place);
+    if (!Whole && Known.ChangedAt <= Since)
+      continue;
     Json::Value Each(Json::objectValue);
     Each["at"] = Place.At.text();
     Each["data_centre"] = Place.DataCentre.value();
-    Into["entries"].append(std::move(Each));
+    Told.append(std::move(Each));
   }
+  if (Whole && wire::numberOf(Params, "entries_digest") == Digest)
+    Into["entries_same"] = true;
+  else
+    Into[Whole ? "entries" : "entries_new"] = std::move(Told);
 }
 
 void JobService::noteOwner(const PoolName &Name, const Json::Value &Claim,
@@ -194,37 +208,6 @@
   Answer(std::move(Result));
 }
 
-bool JobService::listShared(const Json::Value &Params,
-                            Json::Value &Into) const {
-  bool HasSome = wire::numberOf(Params, "workers_of") == SharedOf_ &&
-                 wire::numberOf(Params, "workers_change") != 0;
-  if (SharedOf_ == 0 || wire::numberOf(Params, "lists_of") != SharedOf_ ||
-      HasSome)
-    return false;
-  Into["workers_of"] = Json::UInt64(SharedOf_);
-  Into["workers_change"] = Json::UInt64(SharedChange_);
-  Into["workers"] = Json::Value(Json::arrayValue);
-  for (const WorkerId &Id : SharedWorkers_)
-    if (auto Found = Directory_.Workers.find(Id);
-        Found != Directory_.Workers.end())
-      Into["workers"].append(write(Found->second.Info));
-  return true;
-}
-
-void JobService::workers(const Json::Value &Params, const Reply &Answer) {
-  Json::Value Result(Json::objectValue);
-  if (!serves()) {
-    Result = redirection();
-    tellEvacuations(Params, Result);
-    listShared(Params, Result);
-    return Answer(std::move(Result));
-  }
-  // Who learns of workers learns at the same time which ones get no tasks.
-  tellEvacuations(Params, Result);
-  tellWorkers(Params, true, Result);
-  Answer(std::move(Result));
-}
-
 void JobService::tellDocument(bool Any, Json::Value &Into) const {
   const control::ConfigSnapshot &Config = Needs_.Log.configuration();
   if (!Any && Config.Document.size() > MaxDocumentInSync) {
@@ -235,38 +218,6 @@
   Into["document"] = Config.Document;
 }
 
-void JobService::tellWorkers(const Json::Value &Params, bool Any,
-                             Json::Value &Into) {
-  auto Of = attempt([&] { return json::readUintOr(Params, "workers_of", 0); });
-  auto Change =
-      attempt([&] { return json::readUintOr(Params, "workers_change", 0); });
-  bool SameTerm = Of && Change && *Of == Term_->value();
-  if (isToBeDivided())
-    return;
-  bool Current = SameTerm && *Change == Directory_.Changes;
-  if (Current && knowsAllWorkers())
-    Into["all_workers"] = true;
-  if (Current)
-    return;
-  DirectoryChanges News = changesSince(Directory_, SameTerm ? *Change : 0);
-  if (!Any && News.Changed.size() > MaxWorkersInSync) {
-    Into["many_workers"] = true;
-    return;
-  }
-  Into["workers_of"] = Json::UInt64(Term_->value());
-  Into["workers_change"] = Json::UInt64(News.Upto);
-  Into["workers"] = Json::Value(Json::arrayValue);
-  for (const KnownWorker *Each : News.Changed)
-    Into["workers"].append(write(Each->Info));
-  for (const WorkerId &Each : News.Removed)
-    Into["removed"].append(Each.value());
-}
-
-bool JobService::knowsAllWorkers() const {
-  return InheritsAllWorkers_ ||
-         (Term_ && Needs_.Clock.now() - LeadsSince_ >= LongestSettling);
-}
-
 bool JobService::isToBeDivided() const {
   return Needs_.Store.Plan == PoolPlan::One &&
          Directory_.Workers.size() > MaxWorkersOfOnePool;
@@ -299,100 +250,4 @@
   });
 }
 
-void JobService::shareWorkers() {
-  if (Term_) {
-    auto Own = Needs_.Log.leaderAddress();
-    for (const Endpoint &Member : Needs_.Log.memberAddresses())
-      if (Member != Own && !Shared_[Member].UnderWay)
-        shareWith(Member);
-  }
-  Needs_.Timers.after(ShareInterval, [this] { shareWorkers(); });
-}
-
-void JobService::shareWith(const Endpoint &Member) {
-  ShareState &State = Shared_[Member];
-  if (State.Upto == 0)
-    State.ListedFrom = Directory_.Changes;
-  DirectoryChanges News = changesSince(
-      Directory_, {State.Upto, MostWorkersShared, State.ListedFrom});
-  Json::Value Params(Json::objectValue);
-  Params["workers_of"] = Json::UInt64(Term_->value());
-  if (auto Own = Needs_.Log.leaderAddress())
-    Params["leader"] = Own->text();
-  Params["since"] = Json::UInt64(News.Whole ? 0 : State.Upto);
-  Params["workers_change"] = Json::UInt64(News.Upto);
-  if (knowsAllWorkers() && News.Upto == Directory_.Changes)
-    Params["all_workers"] = true;
-  for (const KnownWorker *Each : News.Changed)
-    Params["workers"].append(write(Each->Info));
-  for (const WorkerId &Each : News.Removed)
-    Params["removed"].append(Each.value());
-  State.UnderWay = true;
-  Needs_.Client.call(
-      Member, wire::method::Share, std::move(Params), ShareTimeout,
-      [this, Member, Term = Term_,
-       Upto = News.Upto](const Outcome<Json::Value> &Result) {
-        if (Term_ != Term)
-          return;
-        ShareState &Of = Shared_[Member];
-        Of.UnderWay = false;
-        if (Result)
-          Of.AnsweredAt = Needs_.Clock.now();
-        // One that lacks something is told all workers anew. Without an answer
-        // the same is told again: that changes nothing.
-        if (Result && wire::isSet(*Result, "behind"))
-          Of.Upto = 0;
-        else if (Result)
-          Of.Upto = Upto;
-        if (Result && Of.Upto != 0 && Of.Upto < Directory_.Changes)
-          shareWith(Member);
-      });
-}
-
-void JobService::takeShared(const Json::Value &Params, const Reply &Answer) {
-  auto Workers = attempt([&] { return json::readArray(Params, "workers"); });
-  if (!Workers)
-    return Answer(Workers.error());
-  std::uint64_t Of = wire::numberOf(Params, "workers_of");
-  std::uint64_t Since = wire::numberOf(Params, "since");
-  Json::Value Result(Json::objectValue);
-  // A message whose answer was lost comes again.
-  bool Follows = Of == SharedOf_ && Since <= SharedChange_;
-  if (Since != 0 && !Follows) {
-    Result["behind"] = true;
-    return Answer(std::move(Result));
-  }
-  if (Since != 0 && wire::numberOf(Params, "workers_change") < SharedChange_)
-    return Answer(std::move(Result));
-  followLeader(Relay_, Needs_.Log.leaderAddress());
-  // A leader of the past may share what the present one does not know.
-  bool FromLeader = Relay_.Leader && Params["leader"] == Relay_.Leader->text();
-  if (Since == 0) {
-    SharedWorkers_.clear();
-    Relay_.Known.clear();
-  }
-  SharedOf_ = Of;
-  SharedChange_ = wire::numberOf(Params, "workers_change");
-  Time Now = Needs_.Clock.now();
-  for (const Json::Value &Each : *Workers) {
-    auto Info = attempt([&] { return readWorker(Each); });
-    if (!Info)
-      continue;
-    announce(Directory_, *Info, Now);
-    if (FromLeader)
-      noteKnown(Relay_, *Info);
-    SharedWorkers_.insert(Info->Worker);
-  }
-  for (const Json::Value &Each : Params["removed"])
-    if (Each.isString()) {
-      removeWorker(Directory_, WorkerId(Each.asString()));
-      SharedWorkers_.erase(WorkerId(Each.asString()));
-      noteUnknown(Relay_, WorkerId(Each.asString()));
-    }
-  confirmWorkers(Directory_, SharedWorkers_, Now);
-  if (wire::isSet(Params, "all_workers"))
-    AllSharedAt_ = Now;
-  Answer(std::move(Result));
-}
-
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/workerdirectory.cpp
+++ b/src/jobs/internal/workerdirectory.cpp
@@ -7,6 +7,7 @@
 #include "jobs/workerdirectory.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 
 namespace geraniumbay::jobs {
 
@@ -91,6 +92,22 @@
   return Result;
 }
 
+std::uint64_t digestOf(const WorkerInfo &Info) {
+  std::size_t Digest = 0;
+  auto Add = [&](const auto &Value) { boost::hash_combine(Digest, Value); };
+  Add(Info.Worker.value());
+  Add(Info.At.text());
+  Add(Info.Service.value());
+  Add(Info.DataCentre.value());
+  Add(Info.Capacity.CpuMillis);
+  Add(Info.Capacity.MemoryMb);
+  Add(Info.Capacity.Gpus);
+  Add(Info.Draining);
+  for (const std::string &Label : Info.Labels)
+    Add(Label);
+  return Digest;
+}
+
 Json::Value write(const WorkerInfo &Value) {
   Json::Value Result(Json::objectValue);
   Result["worker"] = Value.Worker.value();
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -74,12 +74,14 @@
     auto Server = Servers.find(To);
     if (Server == Servers.end())
       return Finish(Error{ErrorCode::Refused, "nothing listens"});
-    Server->second.at(Method)(
-        Params, [this, From, To, Finish](const Outcome<Json::Value> &Result) {
-          if (!Faults_.isCut(From.Address, To.Address))
-            Timers_.after(Way + writingTime(To, Result),
-                          [Finish, Result] { Finish(Result); });
-        });
+    Server->second.at(Method)(Params, [this, From, To, Method, Finish](
+                                          const Outcome<Json::Value> &Result) {
+      if (Answered)
+        Answered(Method, Result);
+      if (!Faults_.isCut(From.Address, To.Address))
+        Timers_.after(Way + writingTime(To, Result),
+                      [Finish, Result] { Finish(Result); });
+    });
   });
 }
 
@@ -118,7 +120,7 @@
         Result["ready"] = true;
         Result["schedules"] = false;
         Result["by_rack"] = ByRack;
-        Result["lists_of"] = 1;
+        Result["lists_of"] = Json::UInt64(ListTerm);
         Result["all_workers"] = !ListIsPartial;
         const Json::Value &Owned = Params["owned"];
         if (Owned.isObject())
@@ -134,8 +136,9 @@
           Named["data_centre"] = Where;
           Result["entries"].append(Named);
         }
-        if (Params["workers_change"].asUInt64() == 0) {
-          Result["workers_of"] = 1;
+        if (Params["workers_of"].asUInt64() != ListTerm) {
+          Result["workers_of"] = Json::UInt64(ListTerm);
+          Result["no_others"] = !ListIsPartial;
           Result["workers_change"] = 1;
           Result["workers"] = Json::Value(Json::arrayValue);
           for (const WorkerInfo &Info : Announced_)
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -31,6 +31,9 @@
   std::map<std::string, double> BytesPerMilli;
   /// Calls so far, by method.
   std::map<std::string, std::uint64_t> Sent;
+  /// Is told of each answer, by method.
+  std::function<void(const std::string &, const Outcome<Json::Value> &)>
+      Answered;
   /// A cut refuses connections in the name of the other side.
   bool CutsRefuse = false;
 
@@ -97,6 +100,8 @@
   bool ByRack = false;
   /// Control does not know all workers yet.
   bool ListIsPartial = false;
+  /// Of which leader's term the list of workers is that control tells.
+  std::uint64_t ListTerm = 1;
 
   void run(Duration For);
   /// Runs until one entry owns the pool and all others follow it.
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -172,6 +172,34 @@
   EXPECT_TRUE(served(Job));
 }
 
+// The worker left while no leader told of it.
+TEST(EntryJobsTest, AWorkerThatANewLeaderDoesNotKnowIsForgotten) {
+  EntryFake Fake(1, 2);
+  Fake.settle();
+  ASSERT_TRUE(served([&] {
+    auto Job = Fake.submit(0, "before", 8);
+    Fake.run(1s);
+    return Job;
+  }()));
+  WorkerId Gone = Fake.announcements().back().Worker;
+  std::uint64_t Before = Fake.Workers.StartsOn[Gone];
+  EXPECT_GT(Before, 0U);
+  Fake.announcements().pop_back();
+  Fake.ListIsPartial = true;
+  Fake.ListTerm = 2;
+  Fake.run(1s);
+  Fake.submit(0, "between", 8);
+  Fake.run(1s);
+  std::uint64_t Between = Fake.Workers.StartsOn[Gone];
+  EXPECT_GT(Between, Before);
+  Fake.ListIsPartial = false;
+  Fake.ListTerm = 3;
+  Fake.run(1s);
+  Fake.submit(0, "after", 8);
+  Fake.run(1s);
+  EXPECT_EQ(Fake.Workers.StartsOn[Gone], Between);
+}
+
 // It is always free, so that it would draw every task and fail most jobs.
 TEST(EntryJobsTest, AWorkerThatFailsEverythingGetsFewTasks) {
   EntryFake Fake(1, 3);
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "jobs/internal/jobmessages.h"
 #include "jobs/tests/controlfake.h"
 
 #include <gtest/gtest.h>
@@ -58,6 +59,90 @@
   EXPECT_TRUE(allServe(Fake));
 }
 
+// Each entry is told of 60 workers in place of 120, and of none again by a new
+// leader that knows the same ones.
+TEST(JobServiceTest, EntriesHearOfWorkersThatTheyMayOwnAndOnceOnly) {
+  EntryFake Fake(3, 60);
+  std::size_t Most = 0;
+  ControlFake Control(Fake, "document");
+  Fake.Net.Answered = [&](const std::string &Method,
+                          const Outcome<Json::Value> &Answer) {
+    if (Method == wire::method::Workers && Answer)
+      Most = std::max<std::size_t>(Most, (*Answer)["workers"].size());
+  };
+  Fake.run(4s);
+  EXPECT_EQ(Most, 60U);
+  EXPECT_TRUE(allServe(Fake));
+  Most = 0;
+  Control.Log.lead(Fake.controlAddress(), 2);
+  Fake.run(4s);
+  EXPECT_EQ(Most, 0U);
+  EXPECT_TRUE(allServe(Fake));
+}
+
+// A new leader waits until those have asked that are known, and then tells
+// those who know the same entries just that.
+TEST(JobServiceTest, ANewLeaderTellsNoListsOfEntriesThatAreKnown) {
+  EntryFake Fake(20, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  std::size_t Lists = 0;
+  std::size_t Same = 0;
+  Fake.Net.Answered = [&](const std::string & /*Method*/,
+                          const Outcome<Json::Value> &Answer) {
+    Lists += Answer && Answer->isMember("entries") ? 1U : 0U;
+    Same += Answer && Answer->isMember("entries_same") ? 1U : 0U;
+  };
+  Control.Log.lead(Fake.controlAddress(), 2);
+  Fake.run(4s);
+  EXPECT_EQ(Lists, 0U);
+  EXPECT_EQ(Same, 40U);
+  EXPECT_TRUE(allServe(Fake));
+}
+
+// An entry that comes later is told to the others alone.
+TEST(JobServiceTest, AnEntryThatComesIsToldAsAChange) {
+  EntryFake Fake(6, 20);
+  Fake.crash(0);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  std::size_t Lists = 0;
+  std::size_t News = 0;
+  Fake.Net.Answered = [&](const std::string & /*Method*/,
+                          const Outcome<Json::Value> &Answer) {
+    Lists += Answer && Answer->isMember("entries") ? 1U : 0U;
+    News += Answer && Answer->isMember("entries_new") ? 1U : 0U;
+  };
+  Json::Value Params(Json::objectValue);
+  Params["entry"] = "10.0.1.77:7000";
+  Params["data_centre"] = "a";
+  Fake.Net.call({"10.0.1.77", 7000}, Fake.controlAddress(), wire::method::Sync,
+                Params, 1s, [](const Outcome<Json::Value> & /*Result*/) {
+                  // The others matter here.
+                });
+  Fake.run(2s);
+  EXPECT_EQ(Lists, 1U);
+  EXPECT_EQ(News, 11U);
+}
+
+// The entries of the other data centres may own the pools of one without.
+TEST(JobServiceTest, WorkersOfADataCentreWithoutEntriesAreTold) {
+  EntryFake Fake(2, 60);
+  Fake.ControlAway = true;
+  Fake.crash(2);
+  Fake.crash(3);
+  Fake.run(10ms);
+  std::size_t Most = 0;
+  ControlFake Control(Fake, "document");
+  Fake.Net.Answered = [&](const std::string &Method,
+                          const Outcome<Json::Value> &Answer) {
+    if (Method == wire::method::Workers && Answer)
+      Most = std::max<std::size_t>(Most, (*Answer)["workers"].size());
+  };
+  Fake.run(6s);
+  EXPECT_EQ(Most, 120U);
+}
+
 // A task finds the rack of its data within its pool, and another one where that
 // is full.
 TEST(JobServiceTest, ATaskGoesToTheRackOfItsData) {
--- a/src/jobs/tests/schedulerfake.h
+++ b/src/jobs/tests/schedulerfake.h
@@ -16,7 +16,7 @@
 namespace geraniumbay::jobs {
 
 class SchedulerFake : public testing::Test {
-protected:
+public:
   SchedulerFake() {
     First = Workers.add("10.1.1.1", "a", 2000);
     Second = Workers.add("10.1.1.2", "a", 2000);
--- a/src/jobs/workerdirectory.h
+++ b/src/jobs/workerdirectory.h
@@ -114,6 +114,10 @@
 /// Drops the workers that are silent.
 void dropSilent(WorkerDirectory &Directory, Time Now);
 
+/// A digest of all that schedulers must hear of a worker. Processes of one
+/// build agree on it.
+std::uint64_t digestOf(const WorkerInfo &Info);
+
 Json::Value write(const WorkerInfo &Value);
 RetVal<WorkerInfo> readWorker(const Json::Value &From);
 
