Start nothing on a worker that control has dropped

Their owner went on starting tasks on them as long as one ran there, and the next owner, which is not told of such a worker, does not ask it before it starts a job that is handed in again.

Change: what runs on a dropped worker goes on, nothing new starts there. Test fails without it. Left: a task that runs there when its owner is lost right after the drop.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -44,7 +44,8 @@
 PoolLoad Scheduler::load() const {
   PoolLoad Result;
   for (const auto &[Id, With] : Sessions_) {
-    if (!With.Known || With.Silent || With.Info.Draining || With.Evacuated)
+    if (!With.Known || With.Silent || With.Info.Draining || With.Evacuated ||
+        With.Unlisted)
       continue;
     Result.Capacity += With.Info.Capacity.CpuMillis;
     Result.Used += With.Used.CpuMillis;
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -184,7 +184,8 @@
 bool takesWorkOf(const WorkerSession &Session, const ServiceId &Service) {
   return Session.Known && !Session.Silent && !Session.Foreign &&
          !Session.HasUnknownRuns && !Session.Info.Draining &&
-         !Session.Evacuated && Session.Info.Service == Service;
+         !Session.Evacuated && !Session.Unlisted &&
+         Session.Info.Service == Service;
 }
 
 namespace {
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -84,6 +84,9 @@
   bool HasUnknownRuns = false;
   /// Its data centre is evacuated: what runs there goes on, nothing starts.
   bool Evacuated = false;
+  /// Control has dropped it, so that the next owner would not look for runs
+  /// there: what runs goes on, nothing starts.
+  bool Unlisted = false;
   /// It is kept free until then for a task that must run alone.
   Time ReservedUntil;
 
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -60,9 +60,11 @@
     hold(With);
   }
   std::vector<WorkerId> Gone;
-  for (const auto &[Id, With] : Sessions_)
-    if (Directory.Workers.count(Id) == 0 && With.Runs.empty())
+  for (auto &[Id, With] : Sessions_) {
+    With.Unlisted = Directory.Workers.count(Id) == 0;
+    if (With.Unlisted && With.Runs.empty())
       Gone.push_back(Id);
+  }
   for (const WorkerId &Id : Gone)
     dropWorker(Id, "not announced any more", scheduling::WorkerLoss::Silent);
 }
--- a/src/jobs/tests/takeovertest.cpp
+++ b/src/jobs/tests/takeovertest.cpp
@@ -77,6 +77,29 @@
   EXPECT_TRUE(Workers.Doubled.empty());
 }
 
+// The next owner would not ask a worker that control does not name any more.
+TEST_F(TakeOverTest, AWorkerThatControlHasDroppedGetsNothingNew) {
+  startAndLoseOwner(false);
+  auto Next = owner(2, true, {First, Second});
+  run(50ms);
+  ASSERT_EQ(Workers.running(), 1U);
+  removeWorker(Directory, First.Worker);
+  Next->takeWorkers(Directory);
+  std::uint64_t Before = Workers.StartsOn[First.Worker];
+  for (int I = 0; I < 4; ++I) {
+    Job New = job(true);
+    New.Id = JobId("later" + std::to_string(I));
+    Arrival How;
+    How.Patience = 5s;
+    Next->run(New, How, [](const Outcome<TransientEnd> &) {});
+  }
+  run(500ms);
+  EXPECT_EQ(Workers.StartsOn[First.Worker], Before);
+  EXPECT_EQ(Workers.StartsOn[Second.Worker], 2U);
+  // What ran there goes on.
+  EXPECT_EQ(Workers.running(), 3U);
+}
+
 // An entry counts on the list of a leader that has led for long, and not on
 // that of one that has just started and knows what has come so far.
 TEST(WorkersKnownTest, ALeaderThatHasJustStartedDoesNotKnowAllWorkers) {
