Ask another control VM for a long list of workers after a second

An entry whose control VM is cut off waited two seconds, where it had turned to the leader after 0.7 s before.

--- a/src/jobs/internal/entryworkers.cpp
+++ b/src/jobs/internal/entryworkers.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-/// Some hundred workers take tens of milliseconds at a control VM that forty
+/// A thousand workers take tens of milliseconds at a control VM that forty
 /// entries ask at once.
-constexpr Duration FetchTimeout = std::chrono::milliseconds(2000);
+constexpr Duration FetchTimeout = std::chrono::milliseconds(1000);
 
 } // namespace
 
