--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -87,7 +87,7 @@
   void writeWorkersKnown(Json::Value &Params) const;
   /// Takes what \p Result says of other entries; returns whether it is
   /// anything.
-  bool tellsEntries(const Json::Value &Result);
+  bool takeNamedEntries(const Json::Value &Result);
   void takeEntryList(const Json::Value &Result);
   void takeOwners(const Json::Value &Result);
   /// Forgets the lists of a leader before.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -196,7 +196,7 @@
   return Result;
 }
 
-bool EntryJobs::tellsEntries(const Json::Value &Result) {
+bool EntryJobs::takeNamedEntries(const Json::Value &Result) {
   if (Result["entries"].isArray()) {
     ToldEntries_ = readEntries(Result["entries"]);
     return true;
@@ -212,7 +212,7 @@
   Time Now = Needs_.Clock.now();
   bool Again = isCurrent(Result, "entries_change", EntriesChange_) &&
                Now - EntriesNamed_ >= NamedAgainAfter;
-  if (!tellsEntries(Result) && !Again)
+  if (!takeNamedEntries(Result) && !Again)
     return;
   EntriesChange_ = wire::numberOf(Result, "entries_change");
   EntriesNamed_ = Now;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -24,6 +24,10 @@
 //     of workers, entries and owners. What is large is named only. REPORT is
 //     owner, token, load; pools whose load alone has changed are told some at a
 //     time, in the order of their names, up to loads_after
+//     of workers whole lists and changes are of the data centres workers_in;
+//     all_workers: the leader knows all that run, and the entry its list;
+//     no_others: the entry forgets the workers that are not listed.
+//     entries_same: the entry's list, by its digest, is that of a new leader
 //   jobs.document {} -> {configuration, document}; any control VM has it
 //   jobs.workers {workers_of, workers_change, workers_in?, workers_digest?,
 //                 lists_of, evacuations_change}
--- a/src/jobs/tests/jobservicetest.cpp
+++ b/src/jobs/tests/jobservicetest.cpp
@@ -30,6 +30,30 @@
     Fake.announcements()[I].Rack = "r" + std::to_string(I % Racks);
 }
 
+/// The longest list of workers that an entry is told from now on, in place of
+/// what was counted before.
+std::shared_ptr<std::size_t> watchLongestList(EntryFake &Fake) {
+  auto Longest = std::make_shared<std::size_t>(0);
+  Fake.Net.Answered = [Longest](const std::string &Method,
+                                const Outcome<Json::Value> &Answer) {
+    if (Method == wire::method::Workers && Answer)
+      *Longest = std::max<std::size_t>(*Longest, (*Answer)["workers"].size());
+  };
+  return Longest;
+}
+
+/// How many answers from now on have each field.
+std::shared_ptr<std::map<std::string, std::size_t>>
+countFields(EntryFake &Fake, const std::vector<std::string> &Fields) {
+  auto Counts = std::make_shared<std::map<std::string, std::size_t>>();
+  Fake.Net.Answered = [Counts, Fields](const std::string & /*Method*/,
+                                       const Outcome<Json::Value> &Answer) {
+    for (const std::string &Each : Fields)
+      (*Counts)[Each] += Answer && Answer->isMember(Each) ? 1U : 0U;
+  };
+  return Counts;
+}
+
 TEST(JobServiceTest, FewWorkersStayOnePool) {
   EntryFake Fake(2, 10);
   ControlFake Control(Fake, "document");
@@ -63,20 +87,15 @@
 // leader that knows the same ones.
 TEST(JobServiceTest, EntriesHearOfWorkersThatTheyMayOwnAndOnceOnly) {
   EntryFake Fake(3, 60);
-  std::size_t Most = 0;
   ControlFake Control(Fake, "document");
-  Fake.Net.Answered = [&](const std::string &Method,
-                          const Outcome<Json::Value> &Answer) {
-    if (Method == wire::method::Workers && Answer)
-      Most = std::max<std::size_t>(Most, (*Answer)["workers"].size());
-  };
+  auto Longest = watchLongestList(Fake);
   Fake.run(4s);
-  EXPECT_EQ(Most, 60U);
+  EXPECT_EQ(*Longest, 60U);
   EXPECT_TRUE(allServe(Fake));
-  Most = 0;
+  Longest = watchLongestList(Fake);
   Control.Log.lead(Fake.controlAddress(), 2);
   Fake.run(4s);
-  EXPECT_EQ(Most, 0U);
+  EXPECT_EQ(*Longest, 0U);
   EXPECT_TRUE(allServe(Fake));
 }
 
@@ -86,17 +105,11 @@
   EntryFake Fake(20, 60);
   ControlFake Control(Fake, "document");
   Fake.run(4s);
-  std::size_t Lists = 0;
-  std::size_t Same = 0;
-  Fake.Net.Answered = [&](const std::string & /*Method*/,
-                          const Outcome<Json::Value> &Answer) {
-    Lists += Answer && Answer->isMember("entries") ? 1U : 0U;
-    Same += Answer && Answer->isMember("entries_same") ? 1U : 0U;
-  };
+  auto Counts = countFields(Fake, {"entries", "entries_same"});
   Control.Log.lead(Fake.controlAddress(), 2);
   Fake.run(4s);
-  EXPECT_EQ(Lists, 0U);
-  EXPECT_EQ(Same, 40U);
+  EXPECT_EQ((*Counts)["entries"], 0U);
+  EXPECT_EQ((*Counts)["entries_same"], 40U);
   EXPECT_TRUE(allServe(Fake));
 }
 
@@ -106,13 +119,7 @@
   Fake.crash(0);
   ControlFake Control(Fake, "document");
   Fake.run(4s);
-  std::size_t Lists = 0;
-  std::size_t News = 0;
-  Fake.Net.Answered = [&](const std::string & /*Method*/,
-                          const Outcome<Json::Value> &Answer) {
-    Lists += Answer && Answer->isMember("entries") ? 1U : 0U;
-    News += Answer && Answer->isMember("entries_new") ? 1U : 0U;
-  };
+  auto Counts = countFields(Fake, {"entries", "entries_new"});
   Json::Value Params(Json::objectValue);
   Params["entry"] = "10.0.1.77:7000";
   Params["data_centre"] = "a";
@@ -121,8 +128,8 @@
                   // The others matter here.
                 });
   Fake.run(2s);
-  EXPECT_EQ(Lists, 1U);
-  EXPECT_EQ(News, 11U);
+  EXPECT_EQ((*Counts)["entries"], 1U);
+  EXPECT_EQ((*Counts)["entries_new"], 11U);
 }
 
 // The entries of the other data centres may own the pools of one without.
@@ -132,15 +139,10 @@
   Fake.crash(2);
   Fake.crash(3);
   Fake.run(10ms);
-  std::size_t Most = 0;
   ControlFake Control(Fake, "document");
-  Fake.Net.Answered = [&](const std::string &Method,
-                          const Outcome<Json::Value> &Answer) {
-    if (Method == wire::method::Workers && Answer)
-      Most = std::max<std::size_t>(Most, (*Answer)["workers"].size());
-  };
+  auto Longest = watchLongestList(Fake);
   Fake.run(6s);
-  EXPECT_EQ(Most, 120U);
+  EXPECT_EQ(*Longest, 120U);
 }
 
 // A task finds the rack of its data within its pool, and another one where that
