Log which pool, request and registrar a job's start goes back to

Callers saw one task run twice at a time. The logs could not tell two pools with one job from one pool with two owners, nor two registrars from one that gave a claim away: a start named neither pool nor request.

Now each sending of an entry says request, pool, owner, token and home (job_sent), each answer of a registrar who asked for what and what was granted (job_claimed), each refusal of an owner its pool (job_declined), and job_taken, task_ordered and job_given_up their pool.

No decision changes. Not measured.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -245,6 +245,17 @@
   What->SentTo = In->view().Owner;
   What->TakenBy = Owner;
   In->noteSent(What->Wanted);
+  logEvent(LogLevel::Info, Module, "job_sent",
+           {{"job", What->Wanted.Id},
+            {"serial", What->Own.Serial},
+            {"sending", What->Attempt},
+            {"pool", In->name()},
+            {"owner", Owner.text()},
+            {"token", In->view().Owner.Token.value()},
+            {"home", Home ? Home->name().value() : std::string()},
+            {"registered", What->Registered},
+            {"maybe_taken", What->MaybeTaken},
+            {"age_us", (Needs_.Clock.now() - What->Since).count()}});
   if (Owner == Self_)
     return runHere(What, *In);
   sendToOwner(What);
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -179,6 +179,8 @@
   /// Claims a job of another entry, as its message \p Params says.
   PoolName claimFor(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
                     const Json::Value &Params);
+  PoolName claim(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
+                 const std::set<PoolName> &RefusedBy);
   void answerRegister(const Json::Value &Params, const Reply &Answer);
 
   // Transient jobs of this entry's callers (entryjobs.cpp).
--- a/src/jobs/internal/jobservice.cpp
+++ b/src/jobs/internal/jobservice.cpp
@@ -148,7 +148,8 @@
 void JobService::engage() {
   if (Scheduler_)
     return;
-  SchedulerNeeds Needs{[this] { return Needs_.Log.holdsLease(); },
+  SchedulerNeeds Needs{poolOfAll(),
+                       [this] { return Needs_.Log.holdsLease(); },
                        [](FencingToken /*Token*/) {
                          // A later leader; this one hears of it by the log.
                        },
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -131,7 +131,8 @@
 }
 
 void PoolMember::startScheduler() {
-  SchedulerNeeds Needs{[this] { return ownsPool(View_); },
+  SchedulerNeeds Needs{Name_,
+                       [this] { return ownsPool(View_); },
                        [this](FencingToken Token) {
                          noteFenced(View_, Token, Needs_.Clock.now());
                        },
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -52,8 +52,7 @@
 }
 
 PoolName EntryJobs::claimHere(const Ask &What) {
-  return Register_.claim(What.Wanted.Id, What.Own, What.Pool, What.RefusedBy,
-                         Needs_.Clock.now());
+  return claim(What.Wanted.Id, What.Own, What.Pool, What.RefusedBy);
 }
 
 void EntryJobs::askRegistrar(const AskPtr &What, std::uint64_t Attempt,
@@ -136,7 +135,23 @@
     for (const Json::Value &Each : Params["refused_by"])
       if (Each.isString())
         RefusedBy.insert(PoolName(Each.asString()));
-  return Register_.claim(Id, By, Wanted, RefusedBy, Needs_.Clock.now());
+  return claim(Id, By, Wanted, RefusedBy);
+}
+
+PoolName EntryJobs::claim(const JobId &Id, const WaiterId &By,
+                          const PoolName &Wanted,
+                          const std::set<PoolName> &RefusedBy) {
+  PoolName Claimed =
+      Register_.claim(Id, By, Wanted, RefusedBy, Needs_.Clock.now());
+  logEvent(LogLevel::Info, Module, "job_claimed",
+           {{"job", Id},
+            {"origin", By.Origin.text()},
+            {"serial", By.Serial},
+            {"wanted", Wanted},
+            {"pool", Claimed},
+            {"refused_by", RefusedBy.size()},
+            {"claims", Register_.size()}});
+  return Claimed;
 }
 
 void EntryJobs::answerRegister(const Json::Value &Params, const Reply &Answer) {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -35,6 +35,8 @@
 
 /// What the scheduler works with; all of it outlives the scheduler.
 struct SchedulerNeeds {
+  /// Names the pool in log lines.
+  PoolName Pool;
   /// Whether this process owns the pool at this moment: asked right before
   /// orders are given.
   std::function<bool()> MayOrder;
--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -64,6 +64,7 @@
             {"index", Task.Id.Index},
             {"run", Order.Run.value()},
             {"worker", On.Info.Worker},
+            {"pool", Needs_.Pool},
             {"token", Token_.value()}});
   // By then the worker's clock has passed the order's time, so that its answer
   // to a question tells.
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -88,6 +88,8 @@
   logEvent(LogLevel::Info, Module, "job_taken",
            {{"job", Id},
             {"origin", How.From.Origin.text()},
+            {"serial", How.From.Serial},
+            {"pool", Needs_.Pool},
             {"maybe_taken", How.MaybeTaken},
             {"token", Token_.value()},
             {"age_us", How.Age.count()},
@@ -188,7 +190,10 @@
     Found->second.RetryAfter = RetryAfter;
   }
   logEvent(LogLevel::Info, Module, "job_given_up",
-           {{"job", Id}, {"reason", Reason}, {"begun", hasBegun(Id)}});
+           {{"job", Id},
+            {"pool", Needs_.Pool},
+            {"reason", Reason},
+            {"begun", hasBegun(Id)}});
   if (Unsettled_.count(Id) != 0)
     blameForOwner(Id);
   JobChanges Changes;
@@ -252,6 +257,8 @@
 
 TransientEnd Scheduler::noteRefusal(const JobId &Id,
                                     const TransientEnd &Refusal) {
+  logEvent(LogLevel::Info, Module, "job_declined",
+           {{"job", Id}, {"pool", Needs_.Pool}, {"reason", Refusal.Reason}});
   Refused_[Id] = {Needs_.Clock.now(), Refusal};
   return Refusal;
 }
--- a/src/jobs/tests/schedulerfake.h
+++ b/src/jobs/tests/schedulerfake.h
@@ -24,7 +24,8 @@
 
   std::unique_ptr<Scheduler> owner(std::uint64_t Token, bool KnowsAllWorkers,
                                    const std::vector<WorkerInfo> &Known) {
-    SchedulerNeeds Needs{[] { return true; },
+    SchedulerNeeds Needs{poolOfAll(),
+                         [] { return true; },
                          [](FencingToken /*Token*/) {
                            // A test sees the token where it matters.
                          },
