--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -35,6 +35,18 @@
   return oneQueue();
 }
 
+void FakeTurns::delay(const std::string &Host, Duration For) {
+  NextTurn_[Host] = std::max(NextTurn_[Host], Clock_.now() + For);
+}
+
+void FakeTurns::run(const std::string &Host, std::function<void()> Due) {
+  auto Found = NextTurn_.find(Host);
+  if (Found == NextTurn_.end() || Found->second <= Clock_.now())
+    return Due();
+  Timers_.after(Found->second - Clock_.now(),
+                [this, Host, Due = std::move(Due)] { run(Host, Due); });
+}
+
 Duration FakePeerNet::writingTime(const Endpoint &By,
                                   const Outcome<Json::Value> &Answer) {
   auto Rate = BytesPerMilli.find(By.Address);
@@ -62,30 +74,37 @@
     if (*Open)
       std::exchange(*Open, nullptr)(Result);
   };
-  Timers_.after(Timeout, [Finish] {
-    Finish(Error{ErrorCode::Timeout, "no answer"});
+  auto Reply = [this, From, Finish](const Outcome<Json::Value> &Result) {
+    Turns_.run(From.Address, [Finish, Result] { Finish(Result); });
+  };
+  Timers_.after(Timeout, [Reply] {
+    Reply(Error{ErrorCode::Timeout, "no answer"});
   });
-  Timers_.after(Way, [this, From, To, Method, Params, Finish] {
-    if (Faults_.isCut(From.Address, To.Address)) {
-      if (CutsRefuse)
-        Finish(Error{ErrorCode::Refused, "refused by something between"});
-      return;
-    }
+  auto Arrive = [this, From, To, Method, Params, Reply] {
     auto Server = Servers.find(To);
     if (Server == Servers.end())
-      return Finish(Error{ErrorCode::Refused, "nothing listens"});
-    Server->second.at(Method)(Params, [this, From, To, Method, Finish](
+      return Reply(Error{ErrorCode::Refused, "nothing listens"});
+    Server->second.at(Method)(Params, [this, From, To, Method, Reply](
                                           const Outcome<Json::Value> &Result) {
       if (Answered)
         Answered(Method, Result);
       if (!Faults_.isCut(From.Address, To.Address))
         Timers_.after(Way + writingTime(To, Result),
-                      [Finish, Result] { Finish(Result); });
+                      [Reply, Result] { Reply(Result); });
     });
+  };
+  Timers_.after(Way, [this, From, To, Reply, Arrive] {
+    if (Faults_.isCut(From.Address, To.Address)) {
+      if (CutsRefuse)
+        Reply(Error{ErrorCode::Refused, "refused by something between"});
+      return;
+    }
+    Turns_.run(To.Address, Arrive);
   });
 }
 
-EntryFake::EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed) {
+EntryFake::EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed,
+                     int RacksEach) {
   Workers.Rng = Random(Seed);
   HostsElsewhere_.insert(Control_.Address);
   for (int DataCentre = 1; DataCentre <= 2; ++DataCentre) {
@@ -95,7 +114,10 @@
       std::string Host = "10.1." + Part + std::to_string(I);
       Announced_.push_back(
           Workers.add(Host, DataCentre == 1 ? "a" : "b", 2000));
-      Announced_.back().Rack = I % 2 == 0 ? "even" : "odd";
+      Announced_.back().Rack = RacksEach != 2
+                                   ? "r" + std::to_string(I % RacksEach)
+                               : I % 2 == 0 ? "even"
+                                            : "odd";
       Hosts.insert(Host);
     }
     for (int I = 1; I <= EntriesEach; ++I) {
@@ -152,7 +174,9 @@
   FakeEntry &New = Entries[Entry];
   New.Rpc = std::make_unique<FakePeerRpc>(Net, New.At);
   New.Workers = std::make_unique<FakeWorkerCalls>(Workers, New.At.Address);
-  EntryNeeds Needs{*New.Workers, Clock, Timers, Measured, *New.Rpc, *New.Rpc};
+  New.Timers = std::make_unique<FakeHostTimers>(Timers, Turns, New.At.Address);
+  EntryNeeds Needs{*New.Workers, Clock,    *New.Timers,
+                   Measured,     *New.Rpc, *New.Rpc};
   New.Jobs = std::make_unique<EntryJobs>(
       Needs, EntryPlace{New.At, DataCentreId(dataCentreOf(New.At))},
       std::vector<Endpoint>{Control_}, readOneQueue, LeaseSettings());
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -15,11 +15,47 @@
 
 namespace geraniumbay::jobs {
 
+/// Hosts whose processes get no turn: what is due there, or comes there, waits.
+class FakeTurns {
+public:
+  FakeTurns(const IClock &Clock, ITimers &Timers)
+      : Clock_(Clock), Timers_(Timers) {}
+
+  /// \p Host gets its next turn \p For from now at the earliest.
+  void delay(const std::string &Host, Duration For);
+  /// Runs \p Due in the next turn of \p Host: now, if it gets one.
+  void run(const std::string &Host, std::function<void()> Due);
+
+private:
+  const IClock &Clock_;
+  ITimers &Timers_;
+  std::map<std::string, Time> NextTurn_;
+};
+
+/// The timers of one host.
+class FakeHostTimers : public ITimers {
+public:
+  FakeHostTimers(ITimers &Timers, FakeTurns &Turns, std::string Host)
+      : Timers_(Timers), Turns_(Turns), Host_(std::move(Host)) {}
+
+  TimerId after(Duration Delay, Callback Run) override {
+    return Timers_.after(
+        Delay, [this, Run = std::move(Run)] { Turns_.run(Host_, Run); });
+  }
+  void cancel(TimerId Id) override { Timers_.cancel(Id); }
+
+private:
+  ITimers &Timers_;
+  FakeTurns &Turns_;
+  const std::string Host_;
+};
+
 /// Calls between processes, a millisecond each way.
 class FakePeerNet {
 public:
-  FakePeerNet(const IClock &Clock, ITimers &Timers, WorkerFaults &Faults)
-      : Clock_(Clock), Timers_(Timers), Faults_(Faults) {}
+  FakePeerNet(const IClock &Clock, ITimers &Timers, FakeTurns &Turns,
+              WorkerFaults &Faults)
+      : Clock_(Clock), Timers_(Timers), Turns_(Turns), Faults_(Faults) {}
 
   void call(const Endpoint &From, const Endpoint &To, const std::string &Method,
             const Json::Value &Params, Duration Timeout,
@@ -43,6 +79,7 @@
 
   const IClock &Clock_;
   ITimers &Timers_;
+  FakeTurns &Turns_;
   WorkerFaults &Faults_;
   std::map<std::string, Time> BusyUntil_;
 };
@@ -76,6 +113,7 @@
 /// One entry.
 struct FakeEntry {
   Endpoint At;
+  std::unique_ptr<FakeHostTimers> Timers;
   std::unique_ptr<FakePeerRpc> Rpc;
   std::unique_ptr<FakeWorkerCalls> Workers;
   std::unique_ptr<EntryJobs> Jobs;
@@ -91,12 +129,13 @@
 bool served(const std::shared_ptr<Submitted> &Job);
 
 /// Two data centres "a" and "b" with entries 10.0.1.x and 10.0.2.x and workers
-/// 10.1.1.x and 10.1.2.x, and one control VM 10.0.9.1.
+/// 10.1.1.x and 10.1.2.x in some racks each, and one control VM 10.0.9.1.
 class EntryFake {
 public:
-  EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed = 1);
+  EntryFake(int EntriesEach, int WorkersEach, std::uint64_t Seed = 1,
+            int RacksEach = 2);
 
-  /// Control has divided the workers by racks, two in each data centre.
+  /// Control has divided the workers by racks.
   bool ByRack = false;
   /// Control does not know all workers yet.
   bool ListIsPartial = false;
@@ -132,7 +171,8 @@
   TimerQueue Timers{Clock};
   WorkerFaults Faults;
   FakeWorkers Workers{Clock, Timers, Faults};
-  FakePeerNet Net{Clock, Timers, Faults};
+  FakeTurns Turns{Clock, Timers};
+  FakePeerNet Net{Clock, Timers, Turns, Faults};
   Metrics Measured;
   std::vector<FakeEntry> Entries;
   bool ControlAway = false;
