Let one registrar decide where a job runs, asked by the owner

What callers saw: one task ran twice at a time, at two pools of one data centre, each with the word of a registrar.

Cause: which entry agreed to a job's pool followed from each entry's own view. A registrar that did not answer two questions of 40 ms was taken for lost, and the next one knew nothing of its claims; the register was gone when its owner changed; and the entry, not the owner, held the claim, so that a refusal that one sending had met let the job go elsewhere while another sending was served.

Now: the home follows from the job's id and the recorded division alone. The owner of a pool asks the registrar before it starts a job, holds the claim while it has the job, and gives it back when it has refused it and nothing of it runs. A registrar that is out of reach means 'not yet'. A new registrar agrees to nothing until the owners of all pools have told what they have, and by telling it they promise to heed no registrar of a lower token. So the second of two registrars cannot agree to what the first has, and the first cannot agree any more.

--- a/src/jobs/internal/entryanswers.cpp
+++ b/src/jobs/internal/entryanswers.cpp
@@ -84,8 +84,6 @@
     return finish(What, What->MaybeTaken
                             ? outcome(JobOutcome::Unknown, "the owner was lost")
                             : notTaken("no owner of the workers was found"));
-  if (What->Registering)
-    return;
   bool Elsewhere = What->MaybeTaken && What->TakenBy != In->view().Owner.At;
   if (!Elsewhere || Now >= givenUpBy(In->view(), What->TakenBy, Now))
     dispatch(What);
@@ -103,8 +101,6 @@
                   (What->MaybeTaken || What->HasRun);
   JobAnswer Told =
       Doubtful ? outcome(JobOutcome::Unknown, Answer.Reason) : Answer;
-  if (Told.Outcome == JobOutcome::NotTaken && What->Registered)
-    releaseJob(*What);
   logAnswer(*What, Told);
   What->Done(Told);
 }
--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -44,12 +44,8 @@
   /// the pool's next owner finds what of it runs.
   PoolName Pool;
   Time PoolChosen;
-  /// The job's registrar is asked for its pool, and has agreed to the one
-  /// above.
-  bool Registering = false;
+  /// The job's registrar has named the pool above, which has the job.
   bool Registered = false;
-  /// It was sent to its home, whose owner registers it.
-  bool AtHome = false;
   /// Pools whose owners have refused it.
   std::set<PoolName> RefusedBy;
   /// How many of them had no room in time.
@@ -68,6 +64,30 @@
   bool HasRun = false;
 };
 
+/// A job that an entry, this one or another, has brought to a pool of this one,
+/// and that waits for its registrar.
+struct EntryJobs::Incoming {
+  Job Wanted;
+  /// As of its coming.
+  Arrival How;
+  Time Since;
+  /// The pool that it was brought to, and the token under which this entry
+  /// owns that.
+  PoolName Pool;
+  FencingToken Token;
+  /// Empty where there is one pool, whose owner asks nobody.
+  PoolName Home;
+  /// The registrar that its entry knows; used for homes in other data centres.
+  std::optional<Endpoint> Registrar;
+  /// The last question to the registrar; 0 if there was none.
+  std::uint64_t Question = 0;
+  bool Asking = false;
+  /// Told how it ended. Refused: it was certainly not taken.
+  Scheduler::EndCallback Ended;
+  /// Told the pool that has the job.
+  std::function<void(const PoolName &)> Elsewhere;
+};
+
 /// Whether a job was refused or given up by the pool's owner.
 inline bool wasRefused(const Outcome<TransientEnd> &Ended) {
   return Ended && Ended->State == JobState::Cancelled;
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -74,6 +74,10 @@
                        [this](const Json::Value &Params, const Reply &Answer) {
                          answerRegister(Params, Answer);
                        });
+  Needs_.Server.method(wire::method::Report,
+                       [this](const Json::Value &Params, const Reply &Answer) {
+                         answerReport(Params, Answer);
+                       });
   Control_.start();
   tick();
   pingAll();
@@ -149,7 +153,7 @@
     return;
   if (What->SentTo->At == Self_) {
     PoolMember *In = findPool(What->Pool);
-    if (In && In->scheduler())
+    if (!dropIncoming(What->Wanted.Id, What->Own) && In && In->scheduler())
       In->scheduler()->dropWaiter(What->Wanted.Id, What->Own);
     return;
   }
@@ -198,17 +202,16 @@
 PoolMember *EntryJobs::poolFor(const AskPtr &What) {
   PoolMember *Chosen = findPool(What->Pool);
   Time Now = Needs_.Clock.now();
-  bool Stays = What->MaybeTaken || Now - What->PoolChosen < ChoiceLasts;
+  bool Stays = What->MaybeTaken || What->Registered ||
+               Now - What->PoolChosen < ChoiceLasts;
   if (Stays && !What->Pool.value().empty())
     return Chosen;
   if (Chosen && !isReachable(*Chosen))
     Chosen->distrustLoad();
   Chosen = choosePool(What->Wanted, What->RefusedBy);
   What->PoolChosen = Now;
-  if (Chosen && Chosen->name() != What->Pool) {
+  if (Chosen)
     What->Pool = Chosen->name();
-    What->Registered = false;
-  }
   return Chosen;
 }
 
@@ -238,10 +241,6 @@
   }
   if (!In->isOwned() || (Owner == Self_ && !In->scheduler()))
     return park(What);
-  PoolMember *Home = What->MaybeTaken ? nullptr : homePool(What->Wanted.Id);
-  What->AtHome = Home == In;
-  if (Home && Home != In && !What->Registered)
-    return registerJob(What, *Home);
   What->SentTo = In->view().Owner;
   What->TakenBy = Owner;
   In->noteSent(What->Wanted);
@@ -252,7 +251,7 @@
             {"pool", In->name()},
             {"owner", Owner.text()},
             {"token", In->view().Owner.Token.value()},
-            {"home", Home ? Home->name().value() : std::string()},
+            {"home", homeOfJob(What->Wanted.Id)},
             {"registered", What->Registered},
             {"maybe_taken", What->MaybeTaken},
             {"age_us", (Needs_.Clock.now() - What->Since).count()}});
@@ -270,25 +269,33 @@
 void EntryJobs::runHere(const AskPtr &What, PoolMember &In) {
   Time Now = Needs_.Clock.now();
   addSuspects(*What);
-  if (What->AtHome) {
-    PoolName Claimed = claimHere(*What);
-    if (Claimed != In.name())
-      return registered(What, Claimed);
-  }
-  In.scheduler()->run(What->Wanted,
-                      Arrival{What->Own, Now - What->Since, What->GiveUp - Now,
-                              What->MaybeTaken},
-                      [this, What, Attempt = What->Attempt](
-                          const Outcome<TransientEnd> &Ended) {
-                        if (What->AtHome && wasRefused(Ended))
-                          Register_.release(What->Wanted.Id, What->Own);
-                        if (Attempt != What->Attempt)
-                          return;
-                        if (Ended)
-                          return settle(What, answerOfEnd(*Ended));
-                        What->MaybeTaken = true;
-                        park(What);
-                      });
+  auto New = std::make_shared<Incoming>();
+  New->Wanted = What->Wanted;
+  New->How = {What->Own, Now - What->Since, What->GiveUp - Now,
+              What->MaybeTaken};
+  New->Home = homeOfJob(What->Wanted.Id);
+  New->Ended = [this, What,
+                Attempt = What->Attempt](const Outcome<TransientEnd> &Ended) {
+    if (Attempt != What->Attempt)
+      return;
+    if (Ended)
+      return settle(What, answerOfEnd(*Ended));
+    What->MaybeTaken =
+        What->MaybeTaken || Ended.error().Code != ErrorCode::Refused;
+    park(What);
+  };
+  New->Elsewhere = [this, What, Attempt = What->Attempt](const PoolName &Pool) {
+    if (Attempt == What->Attempt)
+      registered(What, Pool);
+  };
+  takeIn(std::move(New), In);
+}
+
+void EntryJobs::registered(const AskPtr &What, const PoolName &Pool) {
+  What->Registered = true;
+  What->Pool = Pool;
+  What->PoolChosen = Needs_.Clock.now();
+  dispatch(What);
 }
 
 void EntryJobs::settle(const AskPtr &What, const JobAnswer &Answer) {
@@ -301,9 +308,13 @@
   addSuspects(*What);
   Json::Value Params(Json::objectValue);
   Params["job"] = wire::write(What->Wanted);
-  writeClaim(*What, Params);
-  if (What->AtHome)
-    Params["at_home"] = true;
+  writeAsker(*What, Params);
+  PoolName HomeName = homeOfJob(What->Wanted.Id);
+  if (!HomeName.value().empty())
+    Params["home"] = HomeName.value();
+  if (const PoolMember *Home = findPool(HomeName);
+      Home && Home->view().Owner.Token != FencingToken(0))
+    Params["registrar"] = Home->view().Owner.At.text();
   Params["left_us"] = Json::Int64(std::max(Left, Duration(1)).count());
   Params["age_us"] = Json::Int64((Needs_.Clock.now() - What->Since).count());
   Params["echo_us"] = Json::UInt64(Echoes_[What->SentTo->At].Stamp);
@@ -318,6 +329,13 @@
                      });
 }
 
+void EntryJobs::writeAsker(const Ask &What, Json::Value &Params) const {
+  Params["pool"] = What.Pool.value();
+  Params["origin"] = Self_.text();
+  Params["incarnation"] = Json::UInt64(Incarnation_);
+  Params["serial"] = Json::UInt64(What.Own.Serial);
+}
+
 void EntryJobs::refuse(const JobRequest &Request, const JobAnswer &Answer,
                        const Callback &Done) const {
   logEvent(LogLevel::Warning, Module, "job_refused",
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -56,6 +56,8 @@
   using Reply = IRpcServer::Reply;
   struct Ask;
   using AskPtr = std::shared_ptr<Ask>;
+  struct Incoming;
+  using IncomingPtr = std::shared_ptr<Incoming>;
   using Pools = std::map<PoolName, std::unique_ptr<PoolMember>>;
 
   // What control VMs say (entrysync.cpp).
@@ -160,27 +162,52 @@
   /// whether there is one.
   bool tryElsewhere(const AskPtr &What, const JobAnswer &Refusal);
 
-  // Agreeing on a job's pool with other entries (registration.cpp).
-  /// The job's home, whose owner is its registrar. Null where there is one pool
-  /// of all workers, or no pool of this data centre has an owner.
-  PoolMember *homePool(const JobId &Id) const;
-  /// Asks the owner of \p Home for the job's pool, and goes on with dispatch().
-  void registerJob(const AskPtr &What, const PoolMember &Home);
-  void askRegistrar(const AskPtr &What, std::uint64_t Attempt,
-                    const Endpoint &Registrar, int Tries);
-  void registered(const AskPtr &What, const PoolName &Pool);
-  /// Claims a job of this entry's callers at this entry, its registrar.
-  PoolName claimHere(const Ask &What);
-  /// The caller is told to come back: the job may go to any pool then.
-  void releaseJob(const Ask &What);
-  /// Writes whose job it is and which pool it is meant for.
-  void writeAsker(const Ask &What, Json::Value &Params) const;
-  void writeClaim(const Ask &What, Json::Value &Params) const;
-  /// Claims a job of another entry, as its message \p Params says.
-  PoolName claimFor(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
-                    const Json::Value &Params);
-  PoolName claim(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
-                 const std::set<PoolName> &RefusedBy);
+  // Jobs that are brought to pools of this entry (registration.cpp).
+  /// The pools of \p DataCentre among which its entries' jobs have their homes;
+  /// none where there is one pool of all workers.
+  const std::vector<PoolName> &homesIn(const DataCentreId &DataCentre) const;
+  /// The home of a job of this entry's callers; empty without homes.
+  PoolName homeOfJob(const JobId &Id) const;
+  /// Runs a job once its registrar agrees. \p In has a scheduler.
+  void takeIn(IncomingPtr New, PoolMember &In);
+  std::optional<Endpoint> registrarOf(const Incoming &Of) const;
+  void askRegistrar(const IncomingPtr &What);
+  void takeClaimAnswer(const IncomingPtr &What, const Claimant &By,
+                       const Endpoint &Registrar,
+                       const Outcome<Json::Value> &Result);
+  void claimed(const IncomingPtr &Given, const ClaimAnswer &Answer);
+  void runIncoming(const IncomingPtr &What, PoolMember &In);
+  /// Asks anew for jobs whose registrar has not answered, and gives up those
+  /// that have waited for too long.
+  void askRegistrarsAgain();
+  /// Returns whether the job waited for its registrar.
+  bool dropIncoming(const JobId &Id, const WaiterId &From);
+  /// Whether the job is in the pool of this entry, or on its way there.
+  bool holds(const JobId &Id, const PoolName &Pool) const;
+  /// A sending of the job has not run here and will not. The job may go to any
+  /// pool, unless another sending keeps it here.
+  void giveBack(const Incoming &Of);
+  void sendRelease(const Endpoint &Registrar, const Json::Value &Params,
+                   int Tries);
+  static Json::Value writeClaim(const Incoming &Of);
+
+  // The registers of the homes that this entry owns (registrar.cpp).
+  /// Null unless this entry owns \p Home.
+  JobRegister *registerOf(const PoolName &Home);
+  /// Asks the owners of pools for what they have, for registers that are not
+  /// complete.
+  void collectReports();
+  void askForReport(const PoolName &Home, JobRegister &Of, PoolMember &About);
+  void takeReport(const PoolName &Home, FencingToken Token,
+                  const PoolName &Pool, const Outcome<Json::Value> &Result);
+  void noteComplete(const PoolName &Home, JobRegister &Of);
+  std::vector<JobId> jobsAtHome(const PoolName &Home,
+                                const Scheduler &Of) const;
+  void answerReport(const Json::Value &Params, const Reply &Answer);
+  /// Nothing if this entry is not the registrar, or does not know all claims.
+  std::optional<RegistrarWord> agreeTo(const PoolName &Home, const JobId &Id,
+                                       const Claimant &By);
+  void releaseHere(const PoolName &Home, const JobId &Id, const Claimant &By);
   void answerRegister(const Json::Value &Params, const Reply &Answer);
 
   // Transient jobs of this entry's callers (entryjobs.cpp).
@@ -188,6 +215,10 @@
   PoolMember *poolFor(const AskPtr &What);
   void runHere(const AskPtr &What, PoolMember &In);
   void sendToOwner(const AskPtr &What);
+  /// Writes whose job it is and which pool it is meant for.
+  void writeAsker(const Ask &What, Json::Value &Params) const;
+  /// The job's registrar has named \p Pool: it goes there.
+  void registered(const AskPtr &What, const PoolName &Pool);
   void answered(const AskPtr &What, std::uint64_t Attempt, const Endpoint &From,
                 const Outcome<Json::Value> &Result);
   /// Takes the answer of the owner that the job was sent to.
@@ -202,6 +233,9 @@
   /// still.
   bool hasJustPaused() const;
   void abandon(const AskPtr &What);
+  /// Whether \p Origin was heard lately: what has lain here for longer may be
+  /// of a caller that has come back elsewhere.
+  bool isFresh(const Endpoint &Origin);
   void tellDropped(const Endpoint &To, const Json::Value &Params, int Tries);
   void park(const AskPtr &What);
   void redispatchParked();
@@ -218,6 +252,8 @@
   ConfigVersion RoutingFrom_;
   PoolPlan Plan_ = PoolPlan::One;
   RackGroups Groups_;
+  /// The pools of the recorded division, by data centre.
+  std::map<DataCentreId, std::vector<PoolName>> Homes_;
   /// Which list of workers this entry has: of which leader's term, and how many
   /// changes it covers.
   std::uint64_t WorkersOf_ = 0;
@@ -287,10 +323,16 @@
   /// When that process sent the latest of its pings that has come, by its
   /// clock.
   std::map<Endpoint, std::uint64_t> LatestPings_;
-  /// Of jobs whose registrar is this entry.
-  JobRegister Register_;
-  /// When an owner last failed to answer as a registrar.
-  std::map<Endpoint, Time> RegistrarsLost_;
+  /// Of the homes that this entry owns.
+  std::map<PoolName, JobRegister> Registers_;
+  /// Reports that owners are being asked for: of which home, about which pool.
+  std::set<std::pair<PoolName, PoolName>> ReportsUnderWay_;
+  /// The highest token of a registrar of each home that this entry has answered
+  /// or been answered by; it heeds no lower one.
+  std::map<PoolName, FencingToken> Heeded_;
+  /// Jobs that wait for their registrars.
+  std::set<IncomingPtr> Incoming_;
+  std::uint64_t LastQuestion_ = 0;
   /// Tasks that may crash their workers, as owners have told.
   std::map<JobId, RememberedSuspects> Suspects_;
   /// Jobs of this entry's callers that have not been answered.
--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -152,10 +152,14 @@
       WorkerPools_[Id] = New;
     }
   // Of other data centres this entry hears the pools only.
-  for (const auto &[DataCentre, Racks] : Groups_)
+  for (const auto &[DataCentre, Racks] : Groups_) {
+    std::set<PoolName> Names;
     for (const auto &[Rack, Group] : Racks)
-      if (DataCentre != DataCentre_)
-        memberOf(poolOfRack(Groups_, DataCentre, Rack), DataCentre);
+      Names.insert(poolOfRack(Groups_, DataCentre, Rack));
+    for (const PoolName &Each : Names)
+      memberOf(Each, DataCentre);
+    Homes_[DataCentre].assign(Names.begin(), Names.end());
+  }
 }
 
 void EntryJobs::takeEvacuations(const Json::Value &Result) {
--- a/src/jobs/internal/jobmessages.cpp
+++ b/src/jobs/internal/jobmessages.cpp
@@ -57,6 +57,26 @@
   return Result;
 }
 
+Json::Value write(const RegistrarWord &Value) {
+  Json::Value Result(Json::objectValue);
+  Result["token"] = Json::UInt64(Value.Token.value());
+  Result["pool"] = Value.Answer.Pool.value();
+  if (Value.Answer.HadByOther)
+    Result["had_by_other"] = true;
+  return Result;
+}
+
+RetVal<RegistrarWord> readRegistrarWord(const Json::Value &From) {
+  RegistrarWord Result;
+  BOOST_LEAF_AUTO(Token, json::readUint(From, "token"));
+  Result.Token = FencingToken(Token);
+  BOOST_LEAF_AUTO(Pool, json::readString(From, "pool"));
+  Result.Answer.Pool = PoolName(Pool);
+  BOOST_LEAF_ASSIGN(Result.Answer.HadByOther,
+                    json::readBoolOr(From, "had_by_other", false));
+  return Result;
+}
+
 RetVal<Endpoint> readEndpoint(const Json::Value &From, const char *Name) {
   BOOST_LEAF_AUTO(Text, json::readString(From, Name));
   return parseEndpoint(Text);
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -39,11 +39,15 @@
 //     where CLAIM is owner, token, highest, workers? and load? (of an owner),
 //     settled?, lets_go?, rival?, rival_token?
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
-//                 echo_us, maybe_taken?, at_home?, refused_by?}
+//                 echo_us, maybe_taken?, home?, registrar?}
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
 //   pool.drop    {pool, job, origin, incarnation, serial} -> {}
-//   pool.register {job, pool, origin, incarnation, serial, refused_by?}
-//     -> {pool}: the pool that the job goes to; with release: -> {}
+//   pool.register {job, home, pool, token, question}
+//     -> {pool, token, had_by_other?}: the pool that the job goes to, and the
+//     registrar's token; with release: -> {}
+//   pool.report  {home, token, pool} -> {token, jobs}, or {} from one that does
+//     not know yet what runs in the pool; by it the pool's owner promises to
+//     heed no registrar of the home with a lower token
 //     between entries
 //   workers.announce {workers} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
@@ -72,6 +76,7 @@
 
 #include "framework/json/json.h"
 #include "jobs/ijobgateway.h"
+#include "jobs/internal/jobregister.h"
 
 namespace geraniumbay::jobs::wire {
 
@@ -87,6 +92,7 @@
 constexpr const char *Run = "pool.run";
 constexpr const char *Drop = "pool.drop";
 constexpr const char *Register = "pool.register";
+constexpr const char *Report = "pool.report";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
 constexpr const char *Heard = "workers.heard";
@@ -105,6 +111,9 @@
 Json::Value write(const JobAnswer &Value);
 RetVal<JobAnswer> readAnswer(const Json::Value &From);
 
+Json::Value write(const RegistrarWord &Value);
+RetVal<RegistrarWord> readRegistrarWord(const Json::Value &From);
+
 /// Reads the address in the field \p Name.
 RetVal<Endpoint> readEndpoint(const Json::Value &From, const char *Name);
 
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -4,14 +4,23 @@
 
 #include "jobs/internal/rendezvous.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace geraniumbay::jobs {
 
 namespace {
 
-/// A claim counts for so long. Nothing of a job begins later than 1.1 s after
-/// its caller sent it, and callers whose connection went silent come back after
-/// 1.3 s: within this time they reach the run that goes on for them.
-constexpr Duration ClaimLasts = std::chrono::seconds(3);
+/// An owner remembers for so long how a job has ended. Callers that send it
+/// again meanwhile are told, instead of running it anew elsewhere.
+constexpr Duration ClaimLasts = std::chrono::seconds(10);
+/// An owner of this data centre that has not reported by then is out of reach.
+/// Callers come back after 1.3 s, and what its entries have had there since is
+/// over.
+constexpr Duration NearOver = std::chrono::seconds(3);
+/// An owner of another data centre that cannot be asked does not hear this
+/// one's entries either: it has dropped their jobs, and their leases are over.
+constexpr Duration FarOver = std::chrono::seconds(1);
 
 } // namespace
 
@@ -22,28 +31,60 @@
   });
 }
 
-PoolName JobRegister::claim(const JobId &Id, const WaiterId &By,
-                            const PoolName &Wanted,
-                            const std::set<PoolName> &RefusedBy, Time Now) {
+void JobRegister::takeReport(const PoolName &Pool, FencingToken PoolToken,
+                             const std::vector<JobId> &Jobs, Time Now) {
+  Reported_.insert(Pool);
+  for (const JobId &Id : Jobs) {
+    auto Known = Claims_.find(Id);
+    if (Known == Claims_.end() || Known->second.By.Pool == Pool)
+      keep(Id, {Pool, PoolToken, 0}, Now);
+  }
+}
+
+bool JobRegister::haveReported(const std::vector<PoolName> &Pools) const {
+  return std::all_of(Pools.begin(), Pools.end(),
+                     [&](const PoolName &Each) { return hasReported(Each); });
+}
+
+bool JobRegister::completeWith(const std::vector<PoolName> &Near,
+                               const std::vector<PoolName> &Far, Time Now) {
+  Duration Passed = Now - Since_;
+  bool Before = std::exchange(
+      Complete_, Complete_ || ((Passed >= NearOver || haveReported(Near)) &&
+                               (Passed >= FarOver || haveReported(Far))));
+  return Complete_ && !Before;
+}
+
+ClaimAnswer JobRegister::claim(const JobId &Id, const Claimant &By, Time Now) {
   forgetOld(Now);
-  auto [Found, New] = Claims_.try_emplace(Id, Claim{Wanted, By, false, Now});
-  Claim &Known = Found->second;
-  if (New) {
-    Ages_.emplace_back(Now, Id);
-    return Wanted;
+  auto Found = Claims_.find(Id);
+  if (Found == Claims_.end()) {
+    keep(Id, By, Now);
+    return {By.Pool, false};
   }
-  Known.Shared = Known.Shared || !(Known.By == By);
-  if (!Known.Shared || RefusedBy.count(Known.Pool) != 0)
-    Known.Pool = Wanted;
-  return Known.Pool;
+  Claimant Known = Found->second.By;
+  if (Known.Pool != By.Pool)
+    return {Known.Pool, false};
+  if (By.Token >= Known.Token)
+    keep(Id, By, Now);
+  return {By.Pool, Known.Token != By.Token};
 }
 
-void JobRegister::release(const JobId &Id, const WaiterId &By) {
+void JobRegister::release(const JobId &Id, const Claimant &By) {
   auto Found = Claims_.find(Id);
-  if (Found != Claims_.end() && !Found->second.Shared && Found->second.By == By)
+  if (Found == Claims_.end())
+    return;
+  const Claimant &Known = Found->second.By;
+  if (Known.Pool == By.Pool && Known.Token == By.Token &&
+      Known.Question <= By.Question)
     Claims_.erase(Found);
 }
 
+void JobRegister::keep(const JobId &Id, const Claimant &By, Time Now) {
+  Claims_[Id] = {By, Now};
+  Ages_.emplace_back(Now, Id);
+}
+
 void JobRegister::forgetOld(Time Now) {
   while (!Ages_.empty() && Now - Ages_.front().first >= ClaimLasts) {
     auto Found = Claims_.find(Ages_.front().second);
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -1,17 +1,18 @@
 //===- jobregister.h - Which pool a job goes to -----------------*- C++ -*-===//
 //
-// Where the workers are divided into pools, a job that reaches two entries at
-// the same time could go to two pools, which do not know of each other's runs.
-// That happens when a caller's connection is reset: it sends its job again at
-// once, while the first sending still arrives. So each job has a home: a pool
-// of the entry's data centre that follows from the job's id. The owner of the
-// home is the job's registrar. A job that goes to its home needs no question;
-// before it goes to another pool, the registrar is asked. The first claim
-// decides; whoever comes later is told the same pool, whose owner knows the job
-// by its id.
+// Where the workers are divided into pools, two owners of pools do not know of
+// each other's runs, and a job can reach both: its caller sends it again when a
+// connection is reset, while the first sending still arrives. So each job has a
+// home, a pool of its entry's data centre that follows from the job's id and
+// the recorded division alone. The owner of the home is the job's registrar.
+// The owner of any other pool starts nothing of a job before its registrar has
+// agreed; the first claim decides, and it stands until that owner gives it
+// back.
 //
-// A question costs 6 ms of a job's way in the median and 9 to 23 ms at the 95th
-// percentile (350 workers, entries with an eighth of a core).
+// The register is in the registrar's memory. Its next owner agrees to nothing
+// before the owner of each pool has told which jobs it has. By its answer such
+// an owner also promises to heed no registrar of a lower token, so that two
+// registrars of one home cannot both agree.
 //
 //===----------------------------------------------------------------------===//
 
@@ -20,7 +21,7 @@
 
 #include "framework/clock/iclock.h"
 #include "jobs/internal/pools.h"
-#include "jobs/internal/scheduler.h"
+#include "jobs/jobtypes.h"
 
 #include <deque>
 #include <unordered_map>
@@ -33,33 +34,79 @@
 std::optional<PoolName> homeOf(const JobId &Id,
                                const std::vector<PoolName> &Pools);
 
-/// What one registrar knows.
+/// A question of the owner of a pool: it wants to run a job.
+struct Claimant {
+  PoolName Pool;
+  /// Under which it owns the pool.
+  FencingToken Token;
+  /// Counts the questions of an owner.
+  std::uint64_t Question = 0;
+};
+
+/// What the registrar says to it.
+struct ClaimAnswer {
+  /// The pool that the job goes to.
+  PoolName Pool;
+  /// Another owner of that pool had the job: tasks of it may run there.
+  bool HadByOther = false;
+
+  bool operator==(const ClaimAnswer &) const = default;
+};
+
+/// The answer with the registrar's token.
+struct RegistrarWord {
+  FencingToken Token;
+  ClaimAnswer Answer;
+};
+
+/// The register of one home, as its owner keeps it under one token.
 class JobRegister {
 public:
-  /// Returns the pool that \p Id goes to: \p Wanted, if nobody has claimed it
-  /// yet, if only \p By has and wants another pool now, or if the pool that was
-  /// claimed has refused it (\p RefusedBy).
-  PoolName claim(const JobId &Id, const WaiterId &By, const PoolName &Wanted,
-                 const std::set<PoolName> &RefusedBy, Time Now);
-  /// \p By has refused the job to its caller: it may go anywhere when it comes
-  /// again, if nobody else has claimed it.
-  void release(const JobId &Id, const WaiterId &By);
+  JobRegister(FencingToken Token, Time Now) : Token_(Token), Since_(Now) {}
+
+  FencingToken token() const { return Token_; }
+  Time since() const { return Since_; }
+
+  /// Takes the jobs that the owner of \p Pool has under \p PoolToken. It heeds
+  /// no registrar with a lower token from now on.
+  void takeReport(const PoolName &Pool, FencingToken PoolToken,
+                  const std::vector<JobId> &Jobs, Time Now);
+  bool hasReported(const PoolName &Pool) const {
+    return Reported_.count(Pool) != 0;
+  }
+  /// Whether all that earlier registrars have agreed to is known.
+  bool isComplete() const { return Complete_; }
+  /// It is once the owners of \p Near, the pools of this data centre, and of
+  /// \p Far, the others, have reported, or what they had is over. Returns
+  /// whether it has just become so.
+  bool completeWith(const std::vector<PoolName> &Near,
+                    const std::vector<PoolName> &Far, Time Now);
+
+  /// Says where \p Id goes: to the pool of \p By, unless another one has it.
+  ClaimAnswer claim(const JobId &Id, const Claimant &By, Time Now);
+  /// The owner that asked \p By has not run the job and will not: it may go to
+  /// any pool, unless that owner, or a later one, has asked again since.
+  void release(const JobId &Id, const Claimant &By);
 
   std::size_t size() const { return Claims_.size(); }
 
 private:
   struct Claim {
-    PoolName Pool;
-    WaiterId By;
-    /// Others were told of it, so that it must stay.
-    bool Shared = false;
+    Claimant By;
     Time Since;
   };
 
+  void keep(const JobId &Id, const Claimant &By, Time Now);
   void forgetOld(Time Now);
+  bool haveReported(const std::vector<PoolName> &Pools) const;
 
+  const FencingToken Token_;
+  const Time Since_;
+  std::set<PoolName> Reported_;
+  bool Complete_ = false;
   std::unordered_map<JobId, Claim> Claims_;
-  /// In the order of their times; released ones may still be in it.
+  /// In the order of their times. Those that were released or renewed since are
+  /// still in it.
   std::deque<std::pair<Time, JobId>> Ages_;
 };
 
--- a/src/jobs/internal/ownercalls.cpp
+++ b/src/jobs/internal/ownercalls.cpp
@@ -30,8 +30,9 @@
   if (!Job || !Origin)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
   PoolMember *In = poolOfMessage(Params);
-  if (In && In->scheduler())
-    In->scheduler()->dropWaiter(JobId(*Job), waiterOf(Params, *Origin));
+  WaiterId From = waiterOf(Params, *Origin);
+  if (!dropIncoming(JobId(*Job), From) && In && In->scheduler())
+    In->scheduler()->dropWaiter(JobId(*Job), From);
   Answer(Json::Value(Json::objectValue));
 }
 
@@ -53,40 +54,41 @@
     return Answer(NotOwner(In, false));
   noteIncarnation(*Origin, Params);
   noteEcho(*Origin, Params);
-  // A message that has lain here, as while this VM stood still: the job's
-  // caller may have come back at another entry meanwhile, and be served
-  // elsewhere.
-  if (Needs_.Clock.now() - Contacts_[*Origin] >= FreshEcho) {
+  // As while this VM stood still.
+  if (!isFresh(*Origin)) {
     logEvent(LogLevel::Warning, Module, "job_stale",
-             {{"job", Wanted->Id}, {"origin", Origin->text()}});
+             {{"job", Wanted->Id},
+              {"origin", Origin->text()},
+              {"serial", wire::numberOf(Params, "serial")}});
     return Answer(NotOwner(In, false));
   }
-  JobId Id = Wanted->Id;
-  WaiterId From = waiterOf(Params, *Origin);
-  bool AtHome = wire::isSet(Params, "at_home");
-  if (AtHome) {
-    PoolName Claimed = claimFor(Id, From, In->name(), Params);
-    if (Claimed != In->name()) {
-      Json::Value Result(Json::objectValue);
-      Result["registered"] = Claimed.value();
-      return Answer(std::move(Result));
-    }
-  }
-  Arrival How{
-      From,
+  auto New = std::make_shared<Incoming>();
+  New->Wanted = std::move(*Wanted);
+  New->How = {
+      waiterOf(Params, *Origin),
       Duration(static_cast<Duration::rep>(wire::numberOf(Params, "age_us"))),
       Duration(static_cast<Duration::rep>(*Left)),
       wire::isSet(Params, "maybe_taken")};
-  In->scheduler()->run(std::move(*Wanted), How,
-                       [this, Answer, NotOwner, In, From, AtHome,
-                        Id](const Outcome<TransientEnd> &Ended) {
-                         // What is refused here may go to any pool.
-                         if (AtHome && wasRefused(Ended))
-                           Register_.release(Id, From);
-                         if (Ended)
-                           return Answer(wire::write(answerOfEnd(*Ended)));
-                         Answer(NotOwner(In, true));
-                       });
+  if (Params["home"].isString())
+    New->Home = PoolName(Params["home"].asString());
+  if (auto At =
+          attempt([&] { return wire::readEndpoint(Params, "registrar"); }))
+    New->Registrar = *At;
+  New->Ended = [Answer, NotOwner, In](const Outcome<TransientEnd> &Ended) {
+    if (Ended)
+      return Answer(wire::write(answerOfEnd(*Ended)));
+    Answer(NotOwner(In, Ended.error().Code != ErrorCode::Refused));
+  };
+  New->Elsewhere = [Answer](const PoolName &Pool) {
+    Json::Value Result(Json::objectValue);
+    Result["registered"] = Pool.value();
+    Answer(std::move(Result));
+  };
+  takeIn(std::move(New), *In);
+}
+
+bool EntryJobs::isFresh(const Endpoint &Origin) {
+  return Origin == Self_ || Needs_.Clock.now() - Contacts_[Origin] < FreshEcho;
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/poolchoice.cpp
+++ b/src/jobs/internal/poolchoice.cpp
@@ -22,8 +22,8 @@
 /// The way to another data centre and back, with the question whether the
 /// owner there is reached. Also what makes a pool of this one worth keeping.
 constexpr Duration OtherDataCentre = std::chrono::milliseconds(15);
-/// A job that does not go to its home waits for its registrar's answer: the
-/// median of the way with a question against that without.
+/// A pool that is not the job's home asks the job's registrar: the median of
+/// the way with a question against that without.
 constexpr Duration QuestionToRegistrar = std::chrono::milliseconds(6);
 /// What a pool in full use costs against an empty one: an even use keeps room
 /// for wide jobs everywhere.
@@ -89,7 +89,7 @@
     return findPool(poolOfAll());
   PoolMember *Best = nullptr;
   Duration Least{0};
-  PoolMember *Home = homePool(Wanted.Id);
+  PoolMember *Home = findPool(homeOfJob(Wanted.Id));
   for (PoolMember *In : poolsToWeigh(Wanted, Without, Home)) {
     Duration Cost =
         *In->expectedWait(Wanted) + lossAwayFromData(Wanted, *In) +
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -60,6 +60,8 @@
       tellCandidates(*In);
   followOwners();
   dropSilentOrigins(Now);
+  collectReports();
+  askRegistrarsAgain();
   redispatchParked();
   Needs_.Timers.after(TickInterval, [this] { tick(); });
 }
--- /dev/null
+++ b/src/jobs/internal/registrar.cpp
@@ -0,0 +1,202 @@
+//===- registrar.cpp - The registers of the homes that this entry owns ----===//
+//
+// Answers to the owners of pools that ask before they start a job, and the
+// reports of those owners from which a new registrar learns what its
+// predecessors have agreed to.
+//
+//===----------------------------------------------------------------------===//
+
+#include "framework/log/log.h"
+#include "jobs/internal/entryask.h"
+#include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
+
+#include <algorithm>
+
+namespace geraniumbay::jobs {
+
+namespace {
+
+constexpr const char *Module = "jobs";
+/// An owner is asked again for its report after this time.
+constexpr Duration ReportTimeout = std::chrono::milliseconds(100);
+
+} // namespace
+
+JobRegister *EntryJobs::registerOf(const PoolName &Home) {
+  PoolMember *In = findPool(Home);
+  bool Owns = Plan_ == PoolPlan::ByRack && In && In->scheduler() &&
+              ownsPool(In->view()) && In->dataCentre() == DataCentre_;
+  if (!Owns) {
+    Registers_.erase(Home);
+    return nullptr;
+  }
+  FencingToken Token = In->scheduler()->token();
+  auto Found = Registers_.find(Home);
+  if (Found != Registers_.end() && Found->second.token() == Token)
+    return &Found->second;
+  // Under another token somebody else may have agreed to claims.
+  Registers_.erase(Home);
+  return &Registers_.try_emplace(Home, Token, Needs_.Clock.now()).first->second;
+}
+
+void EntryJobs::collectReports() {
+  for (const auto &[Home, In] : Pools_) {
+    JobRegister *Of = registerOf(Home);
+    if (!Of || Of->isComplete())
+      continue;
+    for (const auto &[Pool, Member] : Pools_)
+      if (!Of->hasReported(Pool))
+        askForReport(Home, *Of, *Member);
+    noteComplete(Home, *Of);
+  }
+}
+
+void EntryJobs::noteComplete(const PoolName &Home, JobRegister &Of) {
+  std::vector<PoolName> Near;
+  std::vector<PoolName> Far;
+  for (const auto &[Name, In] : Pools_)
+    (In->dataCentre() == DataCentre_ ? Near : Far).push_back(Name);
+  Time Now = Needs_.Clock.now();
+  if (!Of.completeWith(Near, Far, Now))
+    return;
+  auto Reported =
+      std::count_if(Pools_.begin(), Pools_.end(), [&](const auto &Entry) {
+        return Of.hasReported(Entry.first);
+      });
+  logEvent(LogLevel::Info, Module, "register_complete",
+           {{"home", Home},
+            {"token", Of.token().value()},
+            {"pools", Pools_.size()},
+            {"reported", Reported},
+            {"claims", Of.size()},
+            {"took_us", (Now - Of.since()).count()}});
+}
+
+void EntryJobs::askForReport(const PoolName &Home, JobRegister &Of,
+                             PoolMember &About) {
+  if (About.scheduler()) {
+    if (About.scheduler()->hasTakenOver())
+      Of.takeReport(About.name(), About.scheduler()->token(),
+                    jobsAtHome(Home, *About.scheduler()), Needs_.Clock.now());
+    return;
+  }
+  const OwnerClaim &Owner = About.view().Owner;
+  std::pair<PoolName, PoolName> Question{Home, About.name()};
+  if (Owner.Token == FencingToken(0) || Owner.At == Self_ ||
+      !ReportsUnderWay_.insert(Question).second)
+    return;
+  Json::Value Params(Json::objectValue);
+  Params["home"] = Home.value();
+  Params["token"] = Json::UInt64(Of.token().value());
+  Params["pool"] = About.name().value();
+  Needs_.Client.call(
+      Owner.At, wire::method::Report, std::move(Params), ReportTimeout,
+      [this, Question, Token = Of.token()](const Outcome<Json::Value> &Result) {
+        ReportsUnderWay_.erase(Question);
+        takeReport(Question.first, Token, Question.second, Result);
+      });
+}
+
+void EntryJobs::takeReport(const PoolName &Home, FencingToken Token,
+                           const PoolName &Pool,
+                           const Outcome<Json::Value> &Result) {
+  if (!Result || !(*Result)["jobs"].isArray())
+    return;
+  JobRegister *Of = registerOf(Home);
+  if (!Of || Of->token() != Token)
+    return;
+  std::vector<JobId> Jobs;
+  for (const Json::Value &Each : (*Result)["jobs"])
+    if (Each.isString())
+      Jobs.emplace_back(Each.asString());
+  Of->takeReport(Pool, FencingToken(wire::numberOf(*Result, "token")), Jobs,
+                 Needs_.Clock.now());
+  noteComplete(Home, *Of);
+}
+
+std::vector<JobId> EntryJobs::jobsAtHome(const PoolName &Home,
+                                         const Scheduler &Of) const {
+  const PoolMember *Named = findPool(Home);
+  if (!Named)
+    return {};
+  std::vector<JobId> Jobs = Of.jobs();
+  std::erase_if(Jobs, [&](const JobId &Id) {
+    return homeOf(Id, homesIn(Named->dataCentre())) != Home;
+  });
+  return Jobs;
+}
+
+void EntryJobs::answerReport(const Json::Value &Params, const Reply &Answer) {
+  auto Home = attempt([&] { return json::readString(Params, "home"); });
+  if (!Home)
+    return Answer(Home.error());
+  PoolMember *In = poolOfMessage(Params);
+  FencingToken Token(wire::numberOf(Params, "token"));
+  FencingToken &Heeded = Heeded_[PoolName(*Home)];
+  bool Knows = In && In->scheduler() && ownsPool(In->view()) &&
+               In->scheduler()->hasTakenOver();
+  Json::Value Result(Json::objectValue);
+  if (!Knows || Token < Heeded)
+    return Answer(std::move(Result));
+  Heeded = Token;
+  Result["token"] = Json::UInt64(In->scheduler()->token().value());
+  Result["jobs"] = Json::Value(Json::arrayValue);
+  for (const JobId &Id : jobsAtHome(PoolName(*Home), *In->scheduler()))
+    Result["jobs"].append(Id.value());
+  Answer(std::move(Result));
+}
+
+std::optional<RegistrarWord>
+EntryJobs::agreeTo(const PoolName &Home, const JobId &Id, const Claimant &By) {
+  JobRegister *Of = registerOf(Home);
+  // After a pause another registrar may be there.
+  if (!Of || !Of->isComplete() || hasJustPaused())
+    return std::nullopt;
+  ClaimAnswer Agreed = Of->claim(Id, By, Needs_.Clock.now());
+  logEvent(LogLevel::Info, Module, "job_claimed",
+           {{"job", Id},
+            {"home", Home},
+            {"token", Of->token().value()},
+            {"wanted", By.Pool},
+            {"owner_token", By.Token.value()},
+            {"question", By.Question},
+            {"pool", Agreed.Pool},
+            {"had_by_other", Agreed.HadByOther},
+            {"claims", Of->size()}});
+  return RegistrarWord{Of->token(), Agreed};
+}
+
+void EntryJobs::releaseHere(const PoolName &Home, const JobId &Id,
+                            const Claimant &By) {
+  JobRegister *Of = registerOf(Home);
+  if (!Of)
+    return;
+  Of->release(Id, By);
+  logEvent(LogLevel::Info, Module, "job_released",
+           {{"job", Id},
+            {"home", Home},
+            {"pool", By.Pool},
+            {"question", By.Question}});
+}
+
+void EntryJobs::answerRegister(const Json::Value &Params, const Reply &Answer) {
+  auto Job = attempt([&] { return json::readString(Params, "job"); });
+  auto Home = attempt([&] { return json::readString(Params, "home"); });
+  auto Pool = attempt([&] { return json::readString(Params, "pool"); });
+  if (!Job || !Home || !Pool)
+    return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
+  Claimant By{PoolName(*Pool), FencingToken(wire::numberOf(Params, "token")),
+              wire::numberOf(Params, "question")};
+  if (wire::isSet(Params, "release")) {
+    releaseHere(PoolName(*Home), JobId(*Job), By);
+    return Answer(Json::Value(Json::objectValue));
+  }
+  auto Agreed = agreeTo(PoolName(*Home), JobId(*Job), By);
+  if (!Agreed)
+    return Answer(Error{ErrorCode::Unavailable,
+                        "not the registrar, or it does not know all claims"});
+  Answer(wire::write(*Agreed));
+}
+
+} // namespace geraniumbay::jobs
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -102,6 +102,16 @@
   /// Whether all that runs on its workers is known here: no run is left that an
   /// earlier owner started and that belongs to no job of this one.
   bool isSettled() const;
+  /// Whether it knows what runs on its workers, or that it is over.
+  bool hasTakenOver() const { return TakenOver_; }
+  /// Whether the transient job \p Id is here, or its end, or a refusal that
+  /// still stands.
+  bool hasAnswerFor(const JobId &Id) const;
+  /// Whether the transient job \p Id waits or runs here, has run, or may still
+  /// run until it has been stopped; not if it was refused.
+  bool has(const JobId &Id) const;
+  /// All of those.
+  std::vector<JobId> jobs() const;
   /// How many workers answer.
   std::size_t workers() const;
   /// The room of the pool, and how long waiting tasks would fill it.
@@ -199,6 +209,7 @@
   void lookAround();
   void adoptOrphans(const JobId &Id);
   bool hasOrphans(const JobId &Id) const;
+  bool mayRun(const JobId &Id) const;
   void stopOrphans(Time Now);
 
   // Jobs that leave an evacuated data centre (evacuationmoves.cpp).
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -138,6 +138,39 @@
                      [&](const auto &Entry) { return Entry.first.Job == Id; });
 }
 
+bool Scheduler::hasAnswerFor(const JobId &Id) const {
+  const Job *Known = findJob(Transient_, Id);
+  return Refused_.count(Id) != 0 ||
+         (Known && Known->State != JobState::Cancelled);
+}
+
+bool Scheduler::mayRun(const JobId &Id) const {
+  if (Unsettled_.count(Id) != 0 || hasOrphans(Id))
+    return true;
+  return std::any_of(
+      Sessions_.begin(), Sessions_.end(), [&](const auto &Session) {
+        return std::any_of(
+            Session.second.Runs.begin(), Session.second.Runs.end(),
+            [&](const auto &Entry) { return Entry.first.Job == Id; });
+      });
+}
+
+bool Scheduler::has(const JobId &Id) const {
+  const Job *Known = findJob(Transient_, Id);
+  return (Known && Known->State != JobState::Cancelled) || mayRun(Id);
+}
+
+std::vector<JobId> Scheduler::jobs() const {
+  std::vector<JobId> Result;
+  for (const auto &[Id, Each] : Transient_.Jobs)
+    if (has(Id))
+      Result.push_back(Id);
+  for (const auto &[Task, Left] : Orphans_)
+    if (!findJob(Transient_, Task.Job))
+      Result.push_back(Task.Job);
+  return Result;
+}
+
 void Scheduler::lookAround() {
   Time Now = Needs_.Clock.now();
   if (Now - LookedAround_ < LookInterval)
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -3,6 +3,7 @@
 #include "jobs/tests/entryfake.h"
 
 #include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
 
 namespace geraniumbay::jobs {
 
@@ -142,6 +143,8 @@
         Result["ready"] = true;
         Result["schedules"] = false;
         Result["by_rack"] = ByRack;
+        if (ByRack)
+          Result["rack_groups"] = rackGroups();
         Result["lists_of"] = Json::UInt64(ListTerm);
         Result["all_workers"] = !ListIsPartial;
         const Json::Value &Owned = Params["owned"];
@@ -170,6 +173,13 @@
       });
 }
 
+Json::Value EntryFake::rackGroups() const {
+  RackGroups Groups;
+  for (const WorkerInfo &Info : Announced_)
+    Groups[Info.DataCentre][Info.Rack] = Info.Rack;
+  return wire::write(Groups);
+}
+
 void EntryFake::start(std::size_t Entry) {
   FakeEntry &New = Entries[Entry];
   New.Rpc = std::make_unique<FakePeerRpc>(Net, New.At);
--- a/src/jobs/tests/entryfake.h
+++ b/src/jobs/tests/entryfake.h
@@ -179,6 +179,8 @@
 
 private:
   void offerControl();
+  /// Each rack is a pool of its own.
+  Json::Value rackGroups() const;
 
   /// Ended processes, whose timers still refer to them.
   std::vector<FakeEntry> Ended_;
--- a/src/jobs/tests/resendtest.cpp
+++ b/src/jobs/tests/resendtest.cpp
@@ -19,6 +19,7 @@
 
 /// What a play may contain.
 struct PlaySettings {
+  bool ByRack = true;
   int EntriesEach = 4;
   int WorkersEach = 9;
   int RacksEach = 3;
@@ -41,7 +42,10 @@
   }
 
   void play() {
-    Fake_.settleByRack();
+    if (Settings_.ByRack)
+      Fake_.settleByRack();
+    else
+      Fake_.settle();
     constexpr int Steps = 80;
     for (int Step = 0; Step < Steps; ++Step) {
       for (std::uint64_t I = Rng_.below(3); I > 0; --I)
