Outbid a claim that nobody holds any more

What callers saw: nothing of itself, since jobs went to other pools; with a home in each pool, a third of a data centre's jobs found no registrar.

Cause: a claim with a higher token had been made and given up. All other entries remembered its token and ignored the owner's lower one, for ever; the owner had heard of that token from them, but it outbid only a rival whose name it knew.

Now an owner that has known of a higher token than its own for DeadAfter, with nobody alive that answers for it, takes a token above it, as it does for a silent rival. PoolViewTest.AnOwnerOutbidsAClaimThatNobodyHolds fails without.

--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -234,11 +234,18 @@
 }
 
 bool outbidSilentRival(PoolView &View, Time Now, WallMillis Wall) {
-  if (!ownsPool(View) || View.Rival.Token <= View.Owner.Token ||
-      !View.RivalSince || Now - *View.RivalSince < DeadAfter ||
-      isAlive(View, View.Rival.At, Now) || !hearsHalf(View, Now))
+  bool IsBehind = ownsPool(View) && View.Highest > View.Owner.Token;
+  if (!IsBehind)
+    View.BehindSince.reset();
+  else if (!View.BehindSince)
+    View.BehindSince = Now;
+  bool HasRival = View.Rival.Token > View.Owner.Token && View.RivalSince;
+  std::optional<Time> Since = HasRival ? View.RivalSince : View.BehindSince;
+  if (!IsBehind || !Since || Now - *Since < DeadAfter ||
+      (HasRival && isAlive(View, View.Rival.At, Now)) || !hearsHalf(View, Now))
     return false;
   View.Rival = OwnerClaim();
+  View.BehindSince.reset();
   View.Owner.Token = tokenAbove(View, Wall);
   View.Highest = View.LastClaim = View.Owner.Token;
   return true;
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -140,6 +140,8 @@
   FencingToken LastClaim;
   /// Claims of this entry must be above it.
   FencingToken Highest;
+  /// Of an owner: since when it has known of a higher claim than its own.
+  std::optional<Time> BehindSince;
   /// This entry makes no claim before this time.
   Time NoClaimBefore;
   /// This entry is about to stop: it does not claim, and lets go.
@@ -178,9 +180,10 @@
 bool meetRival(PoolView &View, const OwnerClaim &Other, std::uint64_t Own,
                std::uint64_t Others, Time Now, WallMillis Wall);
 
-/// Of an owner: others believe in a claim with a higher token whose maker has
-/// been asked for DeadAfter and does not answer, so that they would follow
-/// nobody. Takes a token above it, and returns whether it did.
+/// Of an owner: others know of a claim with a higher token, so that they do not
+/// follow this one, and for DeadAfter nobody has answered for that claim: its
+/// maker is gone or has given it up. Takes a token above it, and returns
+/// whether it did.
 bool outbidSilentRival(PoolView &View, Time Now, WallMillis Wall);
 
 /// From when on a job that \p Owner may have taken can go to another one: by
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -273,6 +273,24 @@
   EXPECT_GT(View.Owner.Token, FencingToken(200));
 }
 
+// Others remember a claim that its maker has given up, and follow nobody: the
+// owner, which has heard of it from them, has a lower token.
+TEST(PoolViewTest, AnOwnerOutbidsAClaimThatNobodyHolds) {
+  Time Start{10s};
+  PeerTable Peers;
+  PoolView View(entry(1), Peers);
+  takeEntries(View, {entry(1), entry(2), entry(3)}, Start);
+  View.Owner = {entry(1), FencingToken(100)};
+  View.Highest = FencingToken(100);
+  EXPECT_FALSE(outbidSilentRival(View, Start, 0));
+  noteAnswer(Peers, entry(2), false, Start + DeadAfter);
+  noteHighest(View, FencingToken(200));
+  EXPECT_FALSE(outbidSilentRival(View, Start + 1ms, 0));
+  EXPECT_FALSE(outbidSilentRival(View, Start + DeadAfter, 0));
+  EXPECT_TRUE(outbidSilentRival(View, Start + DeadAfter + 1ms, 0));
+  EXPECT_GT(View.Owner.Token, FencingToken(200));
+}
+
 TEST(PoolsTest, ACutChangesNoOwnerAndBothSidesServe) {
   EntryFake Fake(2, 4);
   Fake.settleByRack();
--- a/src/jobs/tests/resendtest.cpp
+++ b/src/jobs/tests/resendtest.cpp
@@ -198,5 +198,12 @@
   runsNothingTwice(PlaySettings{}, 20);
 }
 
+// The same while owners are lost and their pools change hands.
+TEST(ResendTest, AJobSentAgainWhileOwnersChangeRunsAtOnePool) {
+  PlaySettings Settings;
+  Settings.CrashPercent = 15;
+  runsNothingTwice(Settings, 20);
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
