Let an owner that has been replaced for a while begin anew

What callers saw: one task ran twice at a time, run 1 by two entries, the first run stopped in its middle: the shape of the users' record.

Cause: an owner that stood still was replaced; its entries handed the jobs to the next owner, which looked at all workers and started them. Then the first one woke, was fenced by a worker, heard more than half of the entries and took a higher token with all that it had: it started the waiting jobs anew, without a look at what the other owner had started, and stopped that as unwanted.

Now an owner of one of several pools begins anew under the higher token: it finds what runs, its entries hand their jobs in again as maybe taken, and the registrar is asked. With one pool of all workers, where no job can have gone elsewhere, it keeps its jobs, and starts what waits only after it has looked at all workers. The same gap was in the pool of all: it is one code.

The play with one pool is clean with and without this change: it guards, and has not shown the fault.

--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -26,12 +26,14 @@
 /// entry may claim it again.
 constexpr Duration GoneFor = std::chrono::seconds(1);
 
+/// The time in which entries hand the jobs of an earlier owner in again.
+constexpr Duration KeepOrphans = std::chrono::milliseconds(1000);
+
 /// How long a new owner leaves alone what runs of unknown jobs, for the entries
 /// to hand these in again. Behind an owner that was silent for long, little
 /// that runs is left; it is stopped at once.
 Duration keepOrphans(const OwnerLoss &Loss) {
-  constexpr Duration Keep = std::chrono::milliseconds(1000);
-  return Loss.LetGo || Loss.Refused ? Keep : Duration(0);
+  return Loss.LetGo || Loss.Refused ? KeepOrphans : Duration(0);
 }
 
 RetVal<OwnerClaim> readClaim(const Json::Value &From, const char *At,
@@ -112,7 +114,10 @@
   if (Raised) {
     logEvent(LogLevel::Info, Module, "pool_token_raised",
              {{"pool", Name_}, {"token", View_.Owner.Token.value()}});
-    Scheduler_->raiseToken(View_.Owner.Token, MetOther_);
+    if (Name_ == poolOfAll())
+      Scheduler_->raiseToken(View_.Owner.Token, MetOther_);
+    else
+      startScheduler(true);
     MetOther_ = false;
   }
   if (Scheduler_ && !Owns) {
@@ -126,11 +131,11 @@
     Scheduler_.reset();
   }
   if (Owns && !Scheduler_)
-    startScheduler();
+    startScheduler(false);
   return Raised;
 }
 
-void PoolMember::startScheduler() {
+void PoolMember::startScheduler(bool Again) {
   SchedulerNeeds Needs{Name_,
                        [this] { return ownsPool(View_); },
                        [this](FencingToken Token) {
@@ -144,10 +149,12 @@
                        Needs_.Clock,
                        Needs_.Timers,
                        Needs_.Measured};
+  Scheduler_.reset();
   LeaseSettings Lease = Needs_.Lease;
-  OwnerLoss Loss = earlierOwnerLoss(View_, Needs_.Clock.now());
+  OwnerLoss Loss =
+      Again ? OwnerLoss() : earlierOwnerLoss(View_, Needs_.Clock.now());
   Lease.EarlierOwner = Loss.LetGo ? Duration(0) : OwnerSilence;
-  Lease.KeepOrphans = keepOrphans(Loss);
+  Lease.KeepOrphans = Again ? KeepOrphans : keepOrphans(Loss);
   // What an owner has not found itself may be of a job that has gone elsewhere
   // since its owner died. Its lease must come to an end.
   Lease.RenewOrphans = Loss.LetGo && Loss.Settled;
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -98,7 +98,11 @@
   /// Whether the owner itself has told its load lately.
   bool hearsLoad() const;
   void takeLoad(const Json::Value &From);
-  void startScheduler();
+  /// \p Again: this entry has owned the pool before, and another owner has been
+  /// there. Where there are several pools that one may have given jobs back
+  /// which went elsewhere since, so that this one begins anew: each job comes
+  /// again by its entry, and is agreed with its registrar.
+  void startScheduler(bool Again);
 
   const PoolMemberNeeds Needs_;
   const PoolName Name_;
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -69,9 +69,18 @@
 }
 
 void Scheduler::raiseToken(FencingToken Token, bool OtherLetsGo) {
+  Time Now = Needs_.Clock.now();
   Token_ = Token;
   if (OtherLetsGo)
-    OrphansUntil_ = Needs_.Clock.now() + KeepMerged;
+    OrphansUntil_ = Now + KeepMerged;
+  // Another owner may have taken these jobs over and run tasks of them.
+  for (const auto &[Id, Job] : Waiters_) {
+    Unsettled_[Id] = Now;
+    forgetWaiting(Id);
+  }
+  LookedAround_ = Time();
+  if (!Unsettled_.empty())
+    lookAround();
 }
 
 std::size_t Scheduler::workers() const {
--- a/src/jobs/tests/resendtest.cpp
+++ b/src/jobs/tests/resendtest.cpp
@@ -205,5 +205,14 @@
   runsNothingTwice(Settings, 20);
 }
 
+// The same with one pool of all workers, whose owner is replaced while it gets
+// no turn, and goes on when it does.
+TEST(ResendTest, AJobSentAgainWhileTheOwnerStandsStillRunsOnce) {
+  PlaySettings Settings;
+  Settings.ByRack = false;
+  Settings.CrashPercent = 5;
+  runsNothingTwice(Settings, 20);
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
