Ask each registrar one question at a time

Cause: an owner asked for each job by itself, again every 25 ms or as soon as 100 ms had passed.

Change: one question is under way from an owner to a registrar, for all jobs that wait for it; its answer brings the next. Claims that are given back travel with it.

What is left of the cost lies in the two seconds after a loss of all: a new registrar waits 1.5 s for leases.

--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -81,7 +81,6 @@
   std::optional<Endpoint> Registrar;
   /// The last question to the registrar; 0 if there was none.
   std::uint64_t Question = 0;
-  bool Asking = false;
   /// Told how it ended. Refused: it was certainly not taken.
   Scheduler::EndCallback Ended;
   /// Told the pool that has the job.
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -170,11 +170,16 @@
   PoolName homeOfJob(const JobId &Id) const;
   /// Runs a job once its registrar agrees. \p In has a scheduler.
   void takeIn(IncomingPtr New, PoolMember &In);
-  std::optional<Endpoint> registrarOf(const Incoming &Of) const;
-  void askRegistrar(const IncomingPtr &What);
-  void takeClaimAnswer(const IncomingPtr &What, const Claimant &By,
-                       const Endpoint &Registrar,
-                       const Outcome<Json::Value> &Result);
+  std::optional<Endpoint> registrarOf(const PoolName &Home);
+  /// Asks for all jobs that wait for the registrar of \p Home, unless a
+  /// question is under way: one that is slow is not asked more for it.
+  void askRegistrar(const PoolName &Home);
+  /// The same where this entry is the registrar.
+  void askHere(const PoolName &Home);
+  void takeRegistrarAnswer(const PoolName &Home, std::uint64_t Serial,
+                           const std::vector<IncomingPtr> &Asked,
+                           const std::vector<Json::Value> &Releases,
+                           const Outcome<Json::Value> &Result);
   void claimed(const IncomingPtr &Given, const ClaimAnswer &Answer);
   void runIncoming(const IncomingPtr &What, PoolMember &In);
   /// Asks anew for jobs whose registrar has not answered, and gives up those
@@ -187,9 +192,7 @@
   /// A sending of the job has not run here and will not. The job may go to any
   /// pool, unless another sending keeps it here.
   void giveBack(const Incoming &Of);
-  void sendRelease(const Endpoint &Registrar, const Json::Value &Params,
-                   int Tries);
-  static Json::Value writeClaim(const Incoming &Of);
+  static Claimant claimantOf(const Incoming &Of);
 
   // The registers of the homes that this entry owns (registrar.cpp).
   /// Null unless this entry owns \p Home.
@@ -204,9 +207,11 @@
   std::vector<JobId> jobsAtHome(const PoolName &Home,
                                 const Scheduler &Of) const;
   void answerReport(const Json::Value &Params, const Reply &Answer);
-  /// Nothing if this entry is not the registrar, or does not know all claims.
-  std::optional<RegistrarWord> agreeTo(const PoolName &Home, const JobId &Id,
-                                       const Claimant &By);
+  /// The register if this entry may agree to claims by it; else null.
+  JobRegister *completeRegisterOf(const PoolName &Home);
+  /// Nothing if it may not.
+  std::optional<ClaimAnswer> agreeTo(const PoolName &Home, const JobId &Id,
+                                     const Claimant &By);
   void releaseHere(const PoolName &Home, const JobId &Id, const Claimant &By);
   void answerRegister(const Json::Value &Params, const Reply &Answer);
 
@@ -332,6 +337,21 @@
   std::map<PoolName, FencingToken> Heeded_;
   /// Jobs that wait for their registrars.
   std::set<IncomingPtr> Incoming_;
+  /// An owner's questions to the registrar of one home.
+  struct Questions {
+    /// Where the last one was sent, and whether its answer is missing.
+    Endpoint At;
+    bool UnderWay = false;
+    std::uint64_t Serial = 0;
+    /// After one that failed.
+    Time NotBefore;
+    /// Claims to be given back with the next one.
+    std::vector<Json::Value> Releases;
+    /// Of a home in another data centre: its registrar, as an entry there
+    /// knows.
+    std::optional<Endpoint> Told;
+  };
+  std::map<PoolName, Questions> Questions_;
   std::uint64_t LastQuestion_ = 0;
   /// Tasks that may crash their workers, as owners have told.
   std::map<JobId, RememberedSuspects> Suspects_;
--- a/src/jobs/internal/jobmessages.cpp
+++ b/src/jobs/internal/jobmessages.cpp
@@ -57,12 +57,39 @@
   return Result;
 }
 
+Json::Value write(const JobId &Id, const Claimant &By) {
+  Json::Value Result(Json::objectValue);
+  Result["job"] = Id.value();
+  Result["pool"] = By.Pool.value();
+  Result["token"] = Json::UInt64(By.Token.value());
+  Result["question"] = Json::UInt64(By.Question);
+  return Result;
+}
+
+RetVal<std::vector<std::pair<JobId, Claimant>>>
+readClaims(const Json::Value &From) {
+  std::vector<std::pair<JobId, Claimant>> Result;
+  for (const Json::Value &Each : From) {
+    BOOST_LEAF_AUTO(Job, json::readString(Each, "job"));
+    BOOST_LEAF_AUTO(Pool, json::readString(Each, "pool"));
+    BOOST_LEAF_AUTO(Token, json::readUint(Each, "token"));
+    BOOST_LEAF_AUTO(Question, json::readUint(Each, "question"));
+    Result.emplace_back(
+        JobId(Job), Claimant{PoolName(Pool), FencingToken(Token), Question});
+  }
+  return Result;
+}
+
 Json::Value write(const RegistrarWord &Value) {
   Json::Value Result(Json::objectValue);
   Result["token"] = Json::UInt64(Value.Token.value());
-  Result["pool"] = Value.Answer.Pool.value();
-  if (Value.Answer.HadByOther)
-    Result["had_by_other"] = true;
+  for (const ClaimAnswer &Each : Value.Answers) {
+    Json::Value Answer(Json::objectValue);
+    Answer["pool"] = Each.Pool.value();
+    if (Each.HadByOther)
+      Answer["had_by_other"] = true;
+    Result["answers"].append(std::move(Answer));
+  }
   return Result;
 }
 
@@ -70,10 +97,11 @@
   RegistrarWord Result;
   BOOST_LEAF_AUTO(Token, json::readUint(From, "token"));
   Result.Token = FencingToken(Token);
-  BOOST_LEAF_AUTO(Pool, json::readString(From, "pool"));
-  Result.Answer.Pool = PoolName(Pool);
-  BOOST_LEAF_ASSIGN(Result.Answer.HadByOther,
-                    json::readBoolOr(From, "had_by_other", false));
+  for (const Json::Value &Each : From["answers"]) {
+    BOOST_LEAF_AUTO(Pool, json::readString(Each, "pool"));
+    BOOST_LEAF_AUTO(ByOther, json::readBoolOr(Each, "had_by_other", false));
+    Result.Answers.push_back({PoolName(Pool), ByOther});
+  }
   return Result;
 }
 
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -42,9 +42,10 @@
 //                 echo_us, maybe_taken?, home?, registrar?}
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
 //   pool.drop    {pool, job, origin, incarnation, serial} -> {}
-//   pool.register {job, home, pool, token, question}
-//     -> {pool, token, had_by_other?}: the pool that the job goes to, and the
-//     registrar's token; with release: -> {}
+//   pool.register {home, claims?: [CLAIMANT], releases?: [CLAIMANT]}
+//     -> {token, answers?: [{pool, had_by_other?}]}: the pool that each job
+//     goes to, and the registrar's token where CLAIMANT is job, pool, token,
+//     question
 //   pool.report  {home, token, pool} -> {token, jobs}, or {} from one that does
 //     not know yet what runs in the pool; by it the pool's owner promises to
 //     heed no registrar of the home with a lower token
@@ -111,6 +112,11 @@
 Json::Value write(const JobAnswer &Value);
 RetVal<JobAnswer> readAnswer(const Json::Value &From);
 
+Json::Value write(const JobId &Id, const Claimant &By);
+/// Nothing reads as an empty list.
+RetVal<std::vector<std::pair<JobId, Claimant>>>
+readClaims(const Json::Value &From);
+
 Json::Value write(const RegistrarWord &Value);
 RetVal<RegistrarWord> readRegistrarWord(const Json::Value &From);
 
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -53,10 +53,11 @@
   bool operator==(const ClaimAnswer &) const = default;
 };
 
-/// The answer with the registrar's token.
+/// The answers to a question for some jobs, in their order, with the
+/// registrar's token.
 struct RegistrarWord {
   FencingToken Token;
-  ClaimAnswer Answer;
+  std::vector<ClaimAnswer> Answers;
 };
 
 /// The register of one home, as its owner keeps it under one token.
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -19,7 +19,7 @@
 
 constexpr const char *Module = "jobs";
 /// An owner is asked again for its report after this time.
-constexpr Duration ReportTimeout = std::chrono::milliseconds(100);
+constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -60,15 +60,15 @@
   Time Now = Needs_.Clock.now();
   if (!Of.completeWith(Near, Far, Now))
     return;
-  auto Reported =
-      std::count_if(Pools_.begin(), Pools_.end(), [&](const auto &Entry) {
-        return Of.hasReported(Entry.first);
-      });
+  std::string Missing;
+  for (const auto &[Name, In] : Pools_)
+    if (!Of.hasReported(Name))
+      Missing += (Missing.empty() ? "" : ",") + Name.value();
   logEvent(LogLevel::Info, Module, "register_complete",
            {{"home", Home},
             {"token", Of.token().value()},
             {"pools", Pools_.size()},
-            {"reported", Reported},
+            {"missing", Missing},
             {"claims", Of.size()},
             {"took_us", (Now - Of.since()).count()}});
 }
@@ -147,11 +147,16 @@
   Answer(std::move(Result));
 }
 
-std::optional<RegistrarWord>
-EntryJobs::agreeTo(const PoolName &Home, const JobId &Id, const Claimant &By) {
+JobRegister *EntryJobs::completeRegisterOf(const PoolName &Home) {
   JobRegister *Of = registerOf(Home);
   // After a pause another registrar may be there.
-  if (!Of || !Of->isComplete() || hasJustPaused())
+  return Of && Of->isComplete() && !hasJustPaused() ? Of : nullptr;
+}
+
+std::optional<ClaimAnswer>
+EntryJobs::agreeTo(const PoolName &Home, const JobId &Id, const Claimant &By) {
+  JobRegister *Of = completeRegisterOf(Home);
+  if (!Of)
     return std::nullopt;
   ClaimAnswer Agreed = Of->claim(Id, By, Needs_.Clock.now());
   logEvent(LogLevel::Info, Module, "job_claimed",
@@ -164,7 +169,7 @@
             {"pool", Agreed.Pool},
             {"had_by_other", Agreed.HadByOther},
             {"claims", Of->size()}});
-  return RegistrarWord{Of->token(), Agreed};
+  return Agreed;
 }
 
 void EntryJobs::releaseHere(const PoolName &Home, const JobId &Id,
@@ -181,22 +186,23 @@
 }
 
 void EntryJobs::answerRegister(const Json::Value &Params, const Reply &Answer) {
-  auto Job = attempt([&] { return json::readString(Params, "job"); });
-  auto Home = attempt([&] { return json::readString(Params, "home"); });
-  auto Pool = attempt([&] { return json::readString(Params, "pool"); });
-  if (!Job || !Home || !Pool)
+  auto Name = attempt([&] { return json::readString(Params, "home"); });
+  auto Releases = attempt([&] { return wire::readClaims(Params["releases"]); });
+  auto Claims = attempt([&] { return wire::readClaims(Params["claims"]); });
+  if (!Name || !Releases || !Claims)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
-  Claimant By{PoolName(*Pool), FencingToken(wire::numberOf(Params, "token")),
-              wire::numberOf(Params, "question")};
-  if (wire::isSet(Params, "release")) {
-    releaseHere(PoolName(*Home), JobId(*Job), By);
-    return Answer(Json::Value(Json::objectValue));
-  }
-  auto Agreed = agreeTo(PoolName(*Home), JobId(*Job), By);
-  if (!Agreed)
+  PoolName Home(*Name);
+  const JobRegister *Of = completeRegisterOf(Home);
+  if (!Of)
     return Answer(Error{ErrorCode::Unavailable,
                         "not the registrar, or it does not know all claims"});
-  Answer(wire::write(*Agreed));
+  RegistrarWord Word{Of->token(), {}};
+  for (const auto &[Job, By] : *Releases)
+    releaseHere(Home, Job, By);
+  for (const auto &[Job, By] : *Claims)
+    if (auto Agreed = agreeTo(Home, Job, By))
+      Word.Answers.push_back(*Agreed);
+  Answer(wire::write(Word));
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -11,18 +11,23 @@
 #include "jobs/internal/jobwire.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace geraniumbay::jobs {
 
 namespace {
 
 constexpr const char *Module = "jobs";
-/// A registrar of the same data centre answers within some milliseconds; one
-/// that is busy, within its turn. Then it is asked again, or its successor.
-constexpr Duration RegisterTimeout = std::chrono::milliseconds(100);
-/// The word that a job may go anywhere is repeated so often. After that the
-/// claim lapses by itself.
-constexpr int ReleaseTries = 3;
+/// A registrar that has not answered for so long is asked again. One that is
+/// short of processor time needs its turn, and would get more to do by shorter
+/// times; its successor is asked at once.
+constexpr Duration RegisterTimeout = std::chrono::milliseconds(300);
+/// After a question that failed, or came to one that cannot agree yet.
+constexpr Duration AskAgainAfter = std::chrono::milliseconds(25);
+/// Jobs in one question. A registrar takes some milliseconds for so many.
+constexpr std::size_t MostClaims = 64;
+/// Claims to give back that wait for a registrar to answer; others lapse.
+constexpr std::size_t MostReleases = 256;
 /// What the caller of a job is told to wait whose registrar is not found: a
 /// lost owner is replaced within that time.
 constexpr Duration RetryAfterNoRegistrar = std::chrono::seconds(1);
@@ -50,70 +55,115 @@
   New->Since = Needs_.Clock.now();
   if (New->Home.value().empty() || In.scheduler()->hasAnswerFor(New->Wanted.Id))
     return runIncoming(New, In);
+  if (New->Registrar)
+    Questions_[New->Home].Told = New->Registrar;
   Incoming_.insert(New);
-  askRegistrar(New);
+  askRegistrar(New->Home);
 }
 
-std::optional<Endpoint> EntryJobs::registrarOf(const Incoming &Of) const {
-  const PoolMember *Home = findPool(Of.Home);
-  bool Watched = Home && Home->dataCentre() == DataCentre_;
-  if (Watched && Home->view().Owner.Token != FencingToken(0))
-    return Home->view().Owner.At;
-  return Watched ? std::nullopt : Of.Registrar;
+std::optional<Endpoint> EntryJobs::registrarOf(const PoolName &Name) {
+  const PoolMember *Home = findPool(Name);
+  if (!Home || Home->dataCentre() != DataCentre_)
+    return Questions_[Name].Told;
+  if (Home->view().Owner.Token == FencingToken(0))
+    return std::nullopt;
+  return Home->view().Owner.At;
 }
 
-void EntryJobs::askRegistrar(const IncomingPtr &What) {
-  std::optional<Endpoint> Registrar = registrarOf(*What);
+void EntryJobs::askHere(const PoolName &Home) {
+  std::vector<IncomingPtr> Waiting(Incoming_.begin(), Incoming_.end());
+  for (const IncomingPtr &What : Waiting) {
+    if (What->Home != Home || Incoming_.count(What) == 0)
+      continue;
+    What->Question = ++LastQuestion_;
+    auto Agreed = agreeTo(Home, What->Wanted.Id, claimantOf(*What));
+    if (!Agreed)
+      return;
+    claimed(What, *Agreed);
+  }
+}
+
+void EntryJobs::askRegistrar(const PoolName &Home) {
+  std::optional<Endpoint> Registrar = registrarOf(Home);
   if (!Registrar)
     return;
-  What->Question = ++LastQuestion_;
-  Claimant By{What->Pool, What->Token, What->Question};
-  if (*Registrar == Self_) {
-    if (auto Agreed = agreeTo(What->Home, What->Wanted.Id, By))
-      claimed(What, Agreed->Answer);
+  if (*Registrar == Self_)
+    return askHere(Home);
+  Questions &Of = Questions_[Home];
+  Time Now = Needs_.Clock.now();
+  // The answer brings the next question.
+  bool UnderWay = Of.UnderWay && Of.At == *Registrar;
+  if (UnderWay || (Of.At == *Registrar && Now < Of.NotBefore))
     return;
+  std::vector<IncomingPtr> Asked;
+  Json::Value Params(Json::objectValue);
+  Params["home"] = Home.value();
+  for (const IncomingPtr &Each : Incoming_) {
+    if (Each->Home != Home || Asked.size() == MostClaims)
+      continue;
+    Each->Question = ++LastQuestion_;
+    Asked.push_back(Each);
+    Params["claims"].append(wire::write(Each->Wanted.Id, claimantOf(*Each)));
   }
-  What->Asking = true;
+  std::vector<Json::Value> Releases = std::exchange(Of.Releases, {});
+  for (const Json::Value &Each : Releases)
+    Params["releases"].append(Each);
+  if (Asked.empty() && Releases.empty())
+    return;
+  Of.UnderWay = true;
+  Of.At = *Registrar;
   Needs_.Client.call(
-      *Registrar, wire::method::Register, writeClaim(*What), RegisterTimeout,
-      [this, What, By, At = *Registrar](const Outcome<Json::Value> &Result) {
-        What->Asking = false;
-        takeClaimAnswer(What, By, At, Result);
+      *Registrar, wire::method::Register, std::move(Params), RegisterTimeout,
+      [this, Home, Asked = std::move(Asked), Releases = std::move(Releases),
+       Serial = ++Of.Serial](const Outcome<Json::Value> &Result) {
+        takeRegistrarAnswer(Home, Serial, Asked, Releases, Result);
       });
 }
 
-void EntryJobs::takeClaimAnswer(const IncomingPtr &What, const Claimant &By,
-                                const Endpoint &Registrar,
-                                const Outcome<Json::Value> &Result) {
+void EntryJobs::takeRegistrarAnswer(const PoolName &Home, std::uint64_t Serial,
+                                    const std::vector<IncomingPtr> &Asked,
+                                    const std::vector<Json::Value> &Releases,
+                                    const Outcome<Json::Value> &Result) {
+  Questions &Of = Questions_[Home];
+  if (Of.Serial == Serial)
+    Of.UnderWay = false;
   auto Told = attempt([&]() -> RetVal<RegistrarWord> {
     if (!Result)
       return fail(Result.error());
     return wire::readRegistrarWord(*Result);
   });
-  if (!Told) {
+  if (!Told || Told->Answers.size() != Asked.size()) {
     // The tick asks again.
-    logEvent(LogLevel::Warning, Module, "registrar_silent",
-             {{"job", What->Wanted.Id},
-              {"home", What->Home},
-              {"registrar", Registrar.text()},
-              {"reason", Told.error().Message}});
+    logEvent(
+        LogLevel::Warning, Module, "registrar_silent",
+        {{"home", Home},
+         {"registrar", Of.At.text()},
+         {"jobs", Asked.size()},
+         {"reason", Told ? "malformed answer" : Told.error().Message.c_str()}});
+    Of.NotBefore = Needs_.Clock.now() + AskAgainAfter;
+    for (const Json::Value &Each : Releases)
+      if (Of.Releases.size() < MostReleases)
+        Of.Releases.push_back(Each);
     return;
   }
-  FencingToken &Heeded = Heeded_[What->Home];
+  FencingToken &Heeded = Heeded_[Home];
   if (Told->Token < Heeded) {
     logEvent(LogLevel::Warning, Module, "registrar_outdated",
-             {{"job", What->Wanted.Id},
-              {"home", What->Home},
-              {"registrar", Registrar.text()},
+             {{"home", Home},
+              {"jobs", Asked.size()},
               {"token", Told->Token.value()},
               {"heeded", Heeded.value()}});
+    Of.NotBefore = Needs_.Clock.now() + AskAgainAfter;
     return;
   }
   Heeded = Told->Token;
-  if (Incoming_.count(What) != 0)
-    claimed(What, Told->Answer);
-  else if (Told->Answer.Pool == By.Pool)
-    giveBack(*What);
+  for (std::size_t I = 0; I < Asked.size(); ++I) {
+    if (Incoming_.count(Asked[I]) != 0)
+      claimed(Asked[I], Told->Answers[I]);
+    else if (Told->Answers[I].Pool == Asked[I]->Pool)
+      giveBack(*Asked[I]);
+  }
+  askRegistrar(Home);
 }
 
 void EntryJobs::claimed(const IncomingPtr &Given, const ClaimAnswer &Answer) {
@@ -153,6 +203,7 @@
 
 void EntryJobs::askRegistrarsAgain() {
   Time Now = Needs_.Clock.now();
+  std::set<PoolName> Due;
   std::vector<IncomingPtr> Waiting(Incoming_.begin(), Incoming_.end());
   for (const IncomingPtr &What : Waiting) {
     if (Incoming_.count(What) == 0)
@@ -169,10 +220,15 @@
                 {"waited_us", (Now - What->Since).count()}});
       What->Ended(refusalOf("its registrar was not found in time",
                             RetryAfterNoRegistrar));
-    } else if (!What->Asking) {
-      askRegistrar(What);
+    } else {
+      Due.insert(What->Home);
     }
   }
+  for (const auto &[Home, Of] : Questions_)
+    if (!Of.Releases.empty())
+      Due.insert(Home);
+  for (const PoolName &Home : Due)
+    askRegistrar(Home);
 }
 
 bool EntryJobs::dropIncoming(const JobId &Id, const WaiterId &From) {
@@ -193,34 +249,17 @@
 void EntryJobs::giveBack(const Incoming &Of) {
   if (Of.Question == 0 || holds(Of.Wanted.Id, Of.Pool))
     return;
-  std::optional<Endpoint> Registrar = registrarOf(Of);
-  if (!Registrar)
-    return;
-  if (*Registrar == Self_)
-    return releaseHere(Of.Home, Of.Wanted.Id, {Of.Pool, Of.Token, Of.Question});
-  Json::Value Params = writeClaim(Of);
-  Params["release"] = true;
-  sendRelease(*Registrar, Params, ReleaseTries);
+  std::optional<Endpoint> Registrar = registrarOf(Of.Home);
+  if (Registrar && *Registrar == Self_)
+    return releaseHere(Of.Home, Of.Wanted.Id, claimantOf(Of));
+  Questions &To = Questions_[Of.Home];
+  if (To.Releases.size() < MostReleases)
+    To.Releases.push_back(wire::write(Of.Wanted.Id, claimantOf(Of)));
+  askRegistrar(Of.Home);
 }
 
-void EntryJobs::sendRelease(const Endpoint &Registrar,
-                            const Json::Value &Params, int Tries) {
-  Needs_.Client.call(
-      Registrar, wire::method::Register, Params, RegisterTimeout,
-      [this, Registrar, Params, Tries](const Outcome<Json::Value> &Result) {
-        if (!Result && Tries > 1)
-          sendRelease(Registrar, Params, Tries - 1);
-      });
-}
-
-Json::Value EntryJobs::writeClaim(const Incoming &Of) {
-  Json::Value Params(Json::objectValue);
-  Params["job"] = Of.Wanted.Id.value();
-  Params["home"] = Of.Home.value();
-  Params["pool"] = Of.Pool.value();
-  Params["token"] = Json::UInt64(Of.Token.value());
-  Params["question"] = Json::UInt64(Of.Question);
-  return Params;
+Claimant EntryJobs::claimantOf(const Incoming &Of) {
+  return {Of.Pool, Of.Token, Of.Question};
 }
 
 } // namespace geraniumbay::jobs
