Know after a loss of all when leases of earlier owners are over

Cause: a new registrar agrees to nothing until it knows what earlier ones have agreed to. After a loss of all processes nobody can tell it, control does not know all workers yet, and it waited for the bounds: 1.52 s for leases of its own pool, which all pools of a data centre waited for, and 1 s for other ones.

Change: a young process tells its age with its answers, and each entry the first claim to a pool that it ever heard of. An owner of which all candidates are young and have never heard of another claim knows by when all earlier processes were gone: leases count from then, not from its claim, and near pools need not report. Candidates are asked until they have answered.

Ruled out: to agree before leases are over. A run of before may live on a worker that is not known yet, and its caller comes back at once.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -53,7 +53,7 @@
                   takeControl(Result, From);
                 },
                 [this] { return !ready(); }}),
-      Incarnation_(incarnationAt(Needs.Clock)) {
+      StartedAt_(Needs.Clock.now()), Incarnation_(incarnationAt(Needs.Clock)) {
   memberOf(poolOfAll(), DataCentre_);
 }
 
@@ -288,7 +288,7 @@
     if (Attempt == What->Attempt)
       registered(What, Pool);
   };
-  takeIn(std::move(New), In);
+  takeIn(New, In);
 }
 
 void EntryJobs::registered(const AskPtr &What, const PoolName &Pool) {
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -122,6 +122,11 @@
   /// Gives up what waits here if this process has stood still.
   void notePause(Time Now);
   void followOwners();
+  /// Of owners that have just claimed their pools: ends what they wait for if
+  /// all entries have started anew.
+  void noteEarlierOwnersGone();
+  /// The age of this process while it is young.
+  std::optional<Duration> youngAge() const;
   /// Of an entry that owns several pools: lets go of one for an entry that owns
   /// none.
   void shareOwnership();
@@ -169,7 +174,7 @@
   /// The home of a job of this entry's callers; empty without homes.
   PoolName homeOfJob(const JobId &Id) const;
   /// Runs a job once its registrar agrees. \p In has a scheduler.
-  void takeIn(IncomingPtr New, PoolMember &In);
+  void takeIn(const IncomingPtr &New, PoolMember &In);
   std::optional<Endpoint> registrarOf(const PoolName &Home);
   /// Asks for all jobs that wait for the registrar of \p Home, unless a
   /// question is under way: one that is slow is not asked more for it.
@@ -180,7 +185,7 @@
                            const std::vector<IncomingPtr> &Asked,
                            const std::vector<Json::Value> &Releases,
                            const Outcome<Json::Value> &Result);
-  void claimed(const IncomingPtr &Given, const ClaimAnswer &Answer);
+  void claimed(const IncomingPtr &What, const ClaimAnswer &Answer);
   void runIncoming(const IncomingPtr &What, PoolMember &In);
   /// Asks anew for jobs whose registrar has not answered, and gives up those
   /// that have waited for too long.
@@ -321,6 +326,8 @@
   /// Entries with jobs here that were silent in the last tick.
   std::set<Endpoint> SilentOrigins_;
 
+  /// When this process started.
+  const Time StartedAt_;
   /// Tells this process from earlier ones at its address.
   const std::uint64_t Incarnation_;
   /// The process that was heard last at each entry's address.
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -35,9 +35,11 @@
 //     or {leader}; a follower has the whole list of its leader's term lists_of
 //   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, sent_us,
 //                 stopping} -> {pools: {POOL: CLAIM}, stamp_us, stopping,
+//                 age_us? (of a young process),
 //                 suspects?: {JOB: tasks that may crash workers}}
-//     where CLAIM is owner, token, highest, workers? and load? (of an owner),
-//     settled?, lets_go?, rival?, rival_token?
+//     where CLAIM is owner, token, highest, first? (the first token that was
+//     heard of), workers? and load? (of an owner), settled?, lets_go?, rival?,
+//     rival_token?
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
 //                 echo_us, maybe_taken?, home?, registrar?}
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/internal/jobregister.h"
 
+#include "jobs/internal/poolview.h"
 #include "jobs/internal/rendezvous.h"
 
 #include <algorithm>
@@ -21,6 +22,10 @@
 /// An owner of another data centre that cannot be asked does not hear this
 /// one's entries either: it has dropped their jobs, and their leases are over.
 constexpr Duration FarOver = std::chrono::seconds(1);
+/// What a lost owner had ends with its lease, see leaseBound(). An owner in
+/// another data centre misses a lost entry after OwnerSilence, and what it has
+/// for that one ends likewise, if it cannot be stopped.
+constexpr Duration LeasesOver = std::chrono::milliseconds(1070);
 
 } // namespace
 
@@ -31,6 +36,15 @@
   });
 }
 
+JobRegister::JobRegister(FencingToken Token, Time Now)
+    : Token_(Token), Since_(Now), NearOverAt_(Now + NearOver),
+      FarOverAt_(Now + FarOver) {}
+
+void JobRegister::noteEntriesGone(Time At) {
+  NearOverAt_ = std::min(NearOverAt_, At + LeasesOver);
+  FarOverAt_ = std::min(FarOverAt_, At + OwnerSilence + LeasesOver);
+}
+
 void JobRegister::takeReport(const PoolName &Pool, FencingToken PoolToken,
                              const std::vector<JobId> &Jobs, Time Now) {
   Reported_.insert(Pool);
@@ -48,10 +62,9 @@
 
 bool JobRegister::completeWith(const std::vector<PoolName> &Near,
                                const std::vector<PoolName> &Far, Time Now) {
-  Duration Passed = Now - Since_;
-  bool Before = std::exchange(
-      Complete_, Complete_ || ((Passed >= NearOver || haveReported(Near)) &&
-                               (Passed >= FarOver || haveReported(Far))));
+  bool NearKnown = Now >= NearOverAt_ || haveReported(Near);
+  bool FarKnown = Now >= FarOverAt_ || haveReported(Far);
+  bool Before = std::exchange(Complete_, Complete_ || (NearKnown && FarKnown));
   return Complete_ && !Before;
 }
 
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -63,7 +63,7 @@
 /// The register of one home, as its owner keeps it under one token.
 class JobRegister {
 public:
-  JobRegister(FencingToken Token, Time Now) : Token_(Token), Since_(Now) {}
+  JobRegister(FencingToken Token, Time Now);
 
   FencingToken token() const { return Token_; }
   Time since() const { return Since_; }
@@ -83,6 +83,10 @@
   bool completeWith(const std::vector<PoolName> &Near,
                     const std::vector<PoolName> &Far, Time Now);
 
+  /// Notes that what entries of this data centre had before it was lost at \p
+  /// At the latest.
+  void noteEntriesGone(Time At);
+
   /// Says where \p Id goes: to the pool of \p By, unless another one has it.
   ClaimAnswer claim(const JobId &Id, const Claimant &By, Time Now);
   /// The owner that asked \p By has not run the job and will not: it may go to
@@ -103,6 +107,10 @@
 
   const FencingToken Token_;
   const Time Since_;
+  /// When what owners of this data centre had is over, reported or not, and
+  /// what those of others had.
+  Time NearOverAt_;
+  Time FarOverAt_;
   std::set<PoolName> Reported_;
   bool Complete_ = false;
   std::unordered_map<JobId, Claim> Claims_;
--- a/src/jobs/internal/ownercalls.cpp
+++ b/src/jobs/internal/ownercalls.cpp
@@ -84,7 +84,7 @@
     Result["registered"] = Pool.value();
     Answer(std::move(Result));
   };
-  takeIn(std::move(New), *In);
+  takeIn(New, *In);
 }
 
 bool EntryJobs::isFresh(const Endpoint &Origin) {
--- a/src/jobs/internal/peertable.cpp
+++ b/src/jobs/internal/peertable.cpp
@@ -19,6 +19,14 @@
   Health.Stopping = Stopping;
 }
 
+void noteAge(PeerTable &Table, const Endpoint &Peer,
+             std::optional<Duration> Age, Time Now) {
+  std::optional<Time> &Started = Table.Peers[Peer].StartedBy;
+  Started.reset();
+  if (Age)
+    Started = Now - *Age;
+}
+
 void noteRefused(PeerTable &Table, const Endpoint &Peer, Time Now) {
   Table.Peers[Peer].Refused = Now;
 }
--- a/src/jobs/internal/peertable.h
+++ b/src/jobs/internal/peertable.h
@@ -27,6 +27,9 @@
   std::optional<Time> Refused;
   /// It says that it is stopping, and releases all pools.
   bool Stopping = false;
+  /// Of a process that was young when it answered: it had started by then, and
+  /// the process before it was gone.
+  std::optional<Time> StartedBy;
 };
 
 struct PeerTable {
@@ -40,6 +43,10 @@
 /// before the last that was answered changes nothing.
 void noteAnswer(PeerTable &Table, const Endpoint &Peer, bool Stopping,
                 Time Sent);
+/// Notes how old the peer's process was in an answer that came \p Now; nothing
+/// if it is not young.
+void noteAge(PeerTable &Table, const Endpoint &Peer,
+             std::optional<Duration> Age, Time Now);
 /// Notes that a connection to the peer was refused.
 void noteRefused(PeerTable &Table, const Endpoint &Peer, Time Now);
 /// Notes a request of the peer.
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -79,6 +79,7 @@
       jobs::claimIfDue(View_, Needs_.Clock.now(), Needs_.Clock.wallNow());
   if (!Claim)
     return false;
+  ClaimedAt_ = Needs_.Clock.now();
   logEvent(LogLevel::Info, Module, "pool_claimed",
            {{"pool", Name_},
             {"token", Claim->Token.value()},
@@ -135,6 +136,18 @@
   return Raised;
 }
 
+std::optional<Time> PoolMember::earlierOwnersGoneBy(Time Started) const {
+  auto Others = jobs::earlierOwnersGoneBy(View_, ClaimedAt_);
+  return Others ? std::optional(std::max(Started, *Others)) : std::nullopt;
+}
+
+std::vector<Endpoint> PoolMember::candidatesToHear() const {
+  if (!Scheduler_ || Scheduler_->hasTakenOver() ||
+      View_.First != View_.Owner.Token)
+    return {};
+  return unansweredSince(View_, ClaimedAt_);
+}
+
 void PoolMember::startScheduler(bool Again) {
   SchedulerNeeds Needs{Name_,
                        [this] { return ownsPool(View_); },
@@ -179,6 +192,8 @@
   Result["owner"] = View_.Owner.At.text();
   Result["token"] = Json::UInt64(View_.Owner.Token.value());
   Result["highest"] = Json::UInt64(View_.Highest.value());
+  if (View_.First != FencingToken(0))
+    Result["first"] = Json::UInt64(View_.First.value());
   if (LetGoAt_)
     Result["lets_go"] = true;
   if (Scheduler_ ? Scheduler_->isSettled() : EndedSettled_)
@@ -225,6 +240,7 @@
   OwnerClaim Word = takeClaim(From, Speaker);
   noteOwnWord(View_, Speaker, Word);
   noteSettled(View_, Speaker, wire::isSet(From, "settled"));
+  noteFirst(View_, Speaker, FencingToken(wire::numberOf(From, "first")));
   noteLetsGo(View_, Speaker, wire::isSet(From, "lets_go"), Needs_.Clock.now());
   meetOwner(From, Word, Speaker);
   if (Speaker != View_.Owner.At)
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -56,6 +56,12 @@
   /// Starts or ends the scheduler as the view says; with \p Disengaged there is
   /// none. Returns whether the other candidates must hear of it at once.
   bool followOwner(bool Disengaged);
+  /// Of an owner: by when all processes that may have owned the pool before
+  /// this one were gone, if that is known. \p Started: when this process did.
+  std::optional<Time> earlierOwnersGoneBy(Time Started) const;
+  /// The candidates whose answers that takes. Nobody once the owner knows what
+  /// runs.
+  std::vector<Endpoint> candidatesToHear() const;
   /// Lets go of the pool for the next candidate to take over, with what runs.
   /// Another claim, or GoneFor, ends it.
   void letGo();
@@ -112,6 +118,8 @@
   WorkerDirectory Directory_;
   const JobStore NoDurableJobs_;
   std::unique_ptr<Scheduler> Scheduler_;
+  /// When this entry claimed the pool last.
+  Time ClaimedAt_;
   /// The load in the owner's reports.
   SteadyPoolLoad ToldLoad_;
   /// Since when this owner has let go for another candidate.
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -24,6 +24,9 @@
 /// Pings to one entry under way at a time. One that is lost must not keep the
 /// next from being sent.
 constexpr std::size_t MaxPings = 3;
+/// A process tells its age for so long: several times what a new owner may have
+/// to wait for.
+constexpr Duration YoungFor = std::chrono::seconds(10);
 /// Jobs with suspected tasks that an answer to a ping names.
 constexpr std::size_t MostSuspectJobs = 32;
 
@@ -59,6 +62,7 @@
     if (!ControlSchedules_ && In->claimIfDue())
       tellCandidates(*In);
   followOwners();
+  noteEarlierOwnersGone();
   dropSilentOrigins(Now);
   collectReports();
   askRegistrarsAgain();
@@ -72,6 +76,26 @@
       tellCandidates(*In);
 }
 
+std::optional<Duration> EntryJobs::youngAge() const {
+  Duration Age = Needs_.Clock.now() - StartedAt_;
+  return Age < YoungFor ? std::optional(Age) : std::nullopt;
+}
+
+void EntryJobs::noteEarlierOwnersGone() {
+  if (!youngAge())
+    return;
+  for (auto &[Name, In] : Pools_) {
+    if (!In->scheduler())
+      continue;
+    auto Gone = In->earlierOwnersGoneBy(StartedAt_);
+    if (!Gone)
+      continue;
+    In->scheduler()->noteEarlierOwnersGone(*Gone);
+    if (JobRegister *Of = registerOf(Name))
+      Of->noteEntriesGone(*Gone);
+  }
+}
+
 void EntryJobs::shareOwnership() {
   Time Now = Needs_.Clock.now();
   if (Plan_ == PoolPlan::One || Stopping_ || Now - SharedAt_ < SharePause)
@@ -137,6 +161,9 @@
       continue;
     for (const Endpoint &To : pingTargets(In->view(), Now))
       Due[To].insert(Name);
+    if (youngAge())
+      for (const Endpoint &To : In->candidatesToHear())
+        Due[To].insert(Name);
     if (!Follow)
       continue;
     for (const Endpoint &To : followTargets(In->view(), Now))
@@ -197,6 +224,10 @@
     return;
   }
   noteAnswer(Peers_, To, wire::isSet(*Result, "stopping"), Sent);
+  std::optional<Duration> Age;
+  if ((*Result)["age_us"].isUInt64())
+    Age = Duration(static_cast<Duration::rep>((*Result)["age_us"].asUInt64()));
+  noteAge(Peers_, To, Age, Needs_.Clock.now());
   if ((*Result)["stamp_us"].isUInt64())
     Echoes_[To] = {(*Result)["stamp_us"].asUInt64(), Sent};
   takePools(*Result, To);
@@ -312,6 +343,8 @@
         Result["pools"][Name] = In->writeClaim();
   Result["stamp_us"] = Json::UInt64(stampOf(Needs_.Clock.now()));
   Result["stopping"] = Stopping_;
+  if (auto Age = youngAge())
+    Result["age_us"] = Json::UInt64(Age->count());
   if (Json::Value Suspects = writeSuspects(); !Suspects.empty())
     Result["suspects"] = std::move(Suspects);
   Answer(std::move(Result));
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -161,11 +161,17 @@
   View.Words[Peer].Settled = Settled;
 }
 
+void noteFirst(PoolView &View, const Endpoint &Peer, FencingToken First) {
+  View.Words[Peer].First = First;
+}
+
 bool noteClaim(PoolView &View, const OwnerClaim &Claim, const Endpoint &Speaker,
                Time Now) {
   View.Highest = std::max(View.Highest, Claim.Token);
   if (Claim.Token == FencingToken(0) || Claim.At == View.Self)
     return false;
+  if (View.First == FencingToken(0))
+    View.First = Claim.Token;
   bool Owned = View.Owner.Token != FencingToken(0);
   if (Owned && Claim.At == View.Owner.At) {
     View.Owner.Token = std::max(View.Owner.Token, Claim.Token);
@@ -271,6 +277,35 @@
   return Loss;
 }
 
+std::vector<Endpoint> unansweredSince(const PoolView &View, Time Claimed) {
+  std::vector<Endpoint> Result;
+  for (const Endpoint &Entry : View.Ranked) {
+    const PeerHealth *Health = peerOf(View, Entry);
+    bool Answered = Health && Health->Answered && *Health->Answered >= Claimed;
+    if (Entry != View.Self && !Answered)
+      Result.push_back(Entry);
+  }
+  return Result;
+}
+
+std::optional<Time> earlierOwnersGoneBy(const PoolView &View, Time Claimed) {
+  if (!ownsPool(View) || View.First != View.Owner.Token ||
+      !unansweredSince(View, Claimed).empty())
+    return std::nullopt;
+  Time Latest;
+  for (const Endpoint &Entry : View.Ranked) {
+    if (Entry == View.Self)
+      continue;
+    const PeerHealth *Health = peerOf(View, Entry);
+    auto Word = View.Words.find(Entry);
+    if (!Health || !Health->StartedBy || Word == View.Words.end() ||
+        Word->second.First != View.Owner.Token)
+      return std::nullopt;
+    Latest = std::max(Latest, *Health->StartedBy);
+  }
+  return Latest;
+}
+
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now) {
   return isAliveWithin(View, Entry, DeadAfter, Now);
 }
@@ -327,6 +362,8 @@
   View.Earlier = View.Owner;
   View.Owner = {View.Self, tokenAbove(View, Wall)};
   View.Highest = View.LastClaim = View.Owner.Token;
+  if (View.First == FencingToken(0))
+    View.First = View.Owner.Token;
   return View.Owner;
 }
 
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -92,6 +92,8 @@
   std::optional<Time> LetsGoAt;
   /// Of an owner: it knows all that runs there.
   bool Settled = false;
+  /// The first claim that it has ever heard of.
+  FencingToken First;
 };
 
 /// How the owner before was lost, as far as the next one knows.
@@ -136,6 +138,8 @@
   std::optional<Time> RivalSince;
   /// The owner before; only of an entry that has claimed the pool.
   OwnerClaim Earlier;
+  /// The first claim that was heard of.
+  FencingToken First;
   /// The highest claim that was heard of; lower ones are of the past.
   FencingToken LastClaim;
   /// Claims of this entry must be above it.
@@ -155,6 +159,7 @@
 /// Notes what \p Peer says of itself and this pool.
 void noteLetsGo(PoolView &View, const Endpoint &Peer, bool LetsGo, Time Now);
 void noteSettled(PoolView &View, const Endpoint &Peer, bool Settled);
+void noteFirst(PoolView &View, const Endpoint &Peer, FencingToken First);
 /// Notes a claim that \p Speaker passed on. Returns whether the owner changed;
 /// a new owner counts as alive for now. While the owner is alive only its own
 /// word changes it. The last claim itself comes back into force by its owner's
@@ -192,6 +197,14 @@
 /// How the owner before this entry's claim was lost.
 OwnerLoss earlierOwnerLoss(const PoolView &View, Time Now);
 
+/// Of an owner that claimed the pool at \p Claimed: by when all processes that
+/// may have owned it before were gone. That is known where all candidates have
+/// answered since, all their processes are young, and none has ever heard of
+/// another claim: as after a loss of all.
+std::optional<Time> earlierOwnersGoneBy(const PoolView &View, Time Claimed);
+/// The candidates that have not answered a question sent since \p Claimed.
+std::vector<Endpoint> unansweredSince(const PoolView &View, Time Claimed);
+
 bool isAlive(const PoolView &View, const Endpoint &Entry, Time Now);
 /// Notes that control vouches for \p Owner.
 void noteReport(PoolView &View, const Endpoint &Owner, Time Now);
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -49,7 +49,7 @@
   return homeOf(Id, homesIn(DataCentre_)).value_or(PoolName());
 }
 
-void EntryJobs::takeIn(IncomingPtr New, PoolMember &In) {
+void EntryJobs::takeIn(const IncomingPtr &New, PoolMember &In) {
   New->Pool = In.name();
   New->Token = In.scheduler()->token();
   New->Since = Needs_.Clock.now();
@@ -166,9 +166,7 @@
   askRegistrar(Home);
 }
 
-void EntryJobs::claimed(const IncomingPtr &Given, const ClaimAnswer &Answer) {
-  // The set may hold the last other reference to it.
-  IncomingPtr What = Given;
+void EntryJobs::claimed(const IncomingPtr &What, const ClaimAnswer &Answer) {
   Incoming_.erase(What);
   if (Answer.Pool != What->Pool) {
     logEvent(LogLevel::Info, Module, "job_registered_elsewhere",
--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -83,6 +83,10 @@
     lookAround();
 }
 
+void Scheduler::noteEarlierOwnersGone(Time At) {
+  TakenOverAt_ = std::min(TakenOverAt_, At + leaseBound(Lease_));
+}
+
 std::size_t Scheduler::workers() const {
   return static_cast<std::size_t>(
       std::count_if(Sessions_.begin(), Sessions_.end(), [](const auto &Entry) {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -104,6 +104,9 @@
   bool isSettled() const;
   /// Whether it knows what runs on its workers, or that it is over.
   bool hasTakenOver() const { return TakenOver_; }
+  /// Notes that all processes which may have owned the workers before this one
+  /// were gone by \p At.
+  void noteEarlierOwnersGone(Time At);
   /// Whether the transient job \p Id is here, or its end, or a refusal that
   /// still stands.
   bool hasAnswerFor(const JobId &Id) const;
--- a/src/jobs/tests/jobregistertest.cpp
+++ b/src/jobs/tests/jobregistertest.cpp
@@ -89,6 +89,15 @@
   EXPECT_TRUE(Near.completeWith({East}, {}, Time(3s)));
 }
 
+TEST(JobRegisterTest, ItWaitsForNobodyWhoseEntriesAreLongGone) {
+  JobRegister Register(FencingToken(20), Time(10s));
+  Register.takeReport(East, Earlier, {}, Time(10s));
+  EXPECT_FALSE(Register.completeWith({East}, {North}, Time(10s)));
+  Register.noteEntriesGone(Time(9s));
+  EXPECT_FALSE(Register.completeWith({East}, {North}, Time(10519ms)));
+  EXPECT_TRUE(Register.completeWith({East}, {North}, Time(10520ms)));
+}
+
 TEST(JobRegisterTest, ClaimsAreForgottenAfterTenSeconds) {
   JobRegister Register = newRegister();
   for (int I = 0; I < 3000; ++I)
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -493,6 +493,26 @@
   EXPECT_TRUE(Fake.Workers.Doubled.empty()) << "seed " << Seed;
 }
 
+// The pattern: all processes are lost at once, and control does not know all
+// workers for some seconds. A new owner need not wait for leases that ended
+// while no process was there.
+TEST(PoolsTest, AfterALossOfAllHomesAreReadyOnceOldLeasesAreOver) {
+  EntryFake Fake(4, 12);
+  Random Rng(1);
+  Fake.settleByRack();
+  Fake.ListIsPartial = true;
+  Fake.ListTerm = 2;
+  Fake.losePower(Rng);
+  // What owners of other data centres may have had is over 1.52 s after the
+  // last process has started. Claims come in time before that.
+  Fake.run(1600ms);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  for (std::size_t I = 0; I < 24; ++I)
+    Jobs.push_back(Fake.submit(I % 8, "job" + std::to_string(I), 1));
+  Fake.run(Fake.Workers.TaskTime + 100ms);
+  EXPECT_EQ(std::count_if(Jobs.begin(), Jobs.end(), served), 24);
+}
+
 TEST(PoolsTest, AllEntriesServeAfterPowerLosses) {
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed)
     serveAfterPowerLosses(Seed);
