Remember a run that was left behind until it has stopped

Cause: a new owner forgot what an earlier one had left as soon as it had ordered it to stop. For the time of the stop (50 ms, longer if the order is lost) its report to a registrar did not name the job, which could be agreed for another pool.

Now it is kept, marked, until the worker no longer has it. The plays of ResendTest pass as before; no test shows the gap by itself.

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -402,6 +402,8 @@
     RunNumber Run;
     /// It has ended well; else it runs.
     bool Done = false;
+    /// It was ordered to stop, and has not been seen to have ended.
+    bool Stopping = false;
   };
   std::unordered_map<TaskId, Orphan> Orphans_;
   /// Those that run are kept until then.
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -204,15 +204,17 @@
 void Scheduler::stopOrphans(Time Now) {
   if (Now < OrphansUntil_ || Orphans_.empty())
     return;
-  for (const auto &[Task, Left] : Orphans_) {
+  for (auto &[Task, Left] : Orphans_) {
     WorkerSession *On = session(Left.Worker);
-    if (Left.Done || !On)
+    if (Left.Done || Left.Stopping || !On)
       continue;
     On->Foreign = true;
+    Left.Stopping = true;
     Needs_.Workers.stop({Left.Worker, On->Info.At}, {Task, Left.Run, Token_});
   }
   std::erase_if(Orphans_, [&](const auto &Entry) {
-    return !Entry.second.Done || Now >= OrphansUntil_ + KeepAnswered;
+    bool Gone = !Entry.second.Done && !session(Entry.second.Worker);
+    return Gone || Now >= OrphansUntil_ + KeepAnswered;
   });
 }
 
