Keep a report's promise in every place, and bound what waits

Promises: an entry that had reported to a new registrar could still agree as the old one, or count its own word where it had promised to a later one; a word of a registrar below the home's last known claim was taken; a report of a pool whose owner had changed since was counted; an older release could erase a claim that a report had brought; a far owner that answered 'not yet' was no longer waited for after 1 s, which is also less than OwnerSilence and a lease (now 1.52 s).

Bounds: reports are asked for again after 50 ms, releases lapse after 10 s, jobs are asked for in the order of their coming, a job is sent from pool to pool four times at most, and jobs of an entry's earlier process are dropped while they wait.

Tests: PoolsTest.ARegistrarAgreesToNothingOnceItHasReportedToAnother, JobRegisterTest.ItWaitsLongerForAnOwnerThatDoesNotKnowYet and AReportedClaimOutlivesAnOlderRelease. The bound of far owners in ItWaitsForSilentOwnersForAWhileOnly goes up with the constant.

--- a/src/jobs/internal/entryask.h
+++ b/src/jobs/internal/entryask.h
@@ -44,8 +44,10 @@
   /// the pool's next owner finds what of it runs.
   PoolName Pool;
   Time PoolChosen;
-  /// The job's registrar has named the pool above, which has the job.
+  /// The job's registrar has named the pool above, which has the job, and how
+  /// often one has.
   bool Registered = false;
+  std::size_t Redirections = 0;
   /// Pools whose owners have refused it.
   std::set<PoolName> RefusedBy;
   /// How many of them had no room in time.
@@ -77,6 +79,8 @@
   FencingToken Token;
   /// Empty where there is one pool, whose owner asks nobody.
   PoolName Home;
+  /// Counts the jobs that were brought to this entry.
+  std::uint64_t Number = 0;
   /// The registrar that its entry knows; used for homes in other data centres.
   std::optional<Endpoint> Registrar;
   /// The last question to the registrar; 0 if there was none.
@@ -87,6 +91,11 @@
   std::function<void(const PoolName &)> Elsewhere;
 };
 
+inline bool EntryJobs::ByArrival::operator()(const IncomingPtr &One,
+                                             const IncomingPtr &Other) const {
+  return One->Number < Other->Number;
+}
+
 /// Whether a job was refused or given up by the pool's owner.
 inline bool wasRefused(const Outcome<TransientEnd> &Ended) {
   return Ended && Ended->State == JobState::Cancelled;
--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -31,6 +31,9 @@
 /// the caller comes back after 1.3 s, perhaps to another pool.
 constexpr Duration DropTimeout = std::chrono::milliseconds(150);
 constexpr int MostDrops = 7;
+/// A registrar names a pool, which may refuse the job while the registrar has
+/// not heard of that; after so many turns the job is refused.
+constexpr std::size_t MostRedirections = 4;
 /// Left to the owner's answer for its way back.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
 
@@ -292,6 +295,10 @@
 }
 
 void EntryJobs::registered(const AskPtr &What, const PoolName &Pool) {
+  if (++What->Redirections > MostRedirections)
+    return finish(What, What->RefusedBy.empty()
+                            ? notTaken("it was sent from pool to pool")
+                            : What->Refusal);
   What->Registered = true;
   What->Pool = Pool;
   What->PoolChosen = Needs_.Clock.now();
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -58,6 +58,9 @@
   using AskPtr = std::shared_ptr<Ask>;
   struct Incoming;
   using IncomingPtr = std::shared_ptr<Incoming>;
+  struct ByArrival {
+    bool operator()(const IncomingPtr &One, const IncomingPtr &Other) const;
+  };
   using Pools = std::map<PoolName, std::unique_ptr<PoolMember>>;
 
   // What control VMs say (entrysync.cpp).
@@ -181,6 +184,8 @@
   void askRegistrar(const PoolName &Home);
   /// The same where this entry is the registrar.
   void askHere(const PoolName &Home);
+  void noteUnanswered(const PoolName &Home,
+                      const std::vector<Json::Value> &Releases);
   void takeRegistrarAnswer(const PoolName &Home, std::uint64_t Serial,
                            const std::vector<IncomingPtr> &Asked,
                            const std::vector<Json::Value> &Releases,
@@ -208,7 +213,7 @@
   void askForReport(const PoolName &Home, JobRegister &Of, PoolMember &About);
   void takeReport(const PoolName &Home, FencingToken Token,
                   const PoolName &Pool, const Outcome<Json::Value> &Result);
-  void noteComplete(const PoolName &Home, JobRegister &Of);
+  void completeIfKnown(const PoolName &Home, JobRegister &Of);
   std::vector<JobId> jobsAtHome(const PoolName &Home,
                                 const Scheduler &Of) const;
   void answerReport(const Json::Value &Params, const Reply &Answer);
@@ -337,21 +342,23 @@
   std::map<Endpoint, std::uint64_t> LatestPings_;
   /// Of the homes that this entry owns.
   std::map<PoolName, JobRegister> Registers_;
-  /// Reports that owners are being asked for: of which home, about which pool.
-  std::set<std::pair<PoolName, PoolName>> ReportsUnderWay_;
+  /// When an owner is asked again for its report: of which home, about which
+  /// pool.
+  std::map<std::pair<PoolName, PoolName>, Time> ReportsAsked_;
   /// The highest token of a registrar of each home that this entry has answered
   /// or been answered by; it heeds no lower one.
   std::map<PoolName, FencingToken> Heeded_;
   /// Jobs that wait for their registrars.
-  std::set<IncomingPtr> Incoming_;
+  std::set<IncomingPtr, ByArrival> Incoming_;
   /// An owner's questions to the registrar of one home.
   struct Questions {
     /// Where the last one was sent, and whether its answer is missing.
     Endpoint At;
     bool UnderWay = false;
     std::uint64_t Serial = 0;
-    /// After one that failed.
+    /// After one that failed; and since when all have.
     Time NotBefore;
+    std::optional<Time> FailsSince;
     /// Claims to be given back with the next one.
     std::vector<Json::Value> Releases;
     /// Of a home in another data centre: its registrar, as an entry there
@@ -359,6 +366,7 @@
     std::optional<Endpoint> Told;
   };
   std::map<PoolName, Questions> Questions_;
+  std::uint64_t LastIncoming_ = 0;
   std::uint64_t LastQuestion_ = 0;
   /// Tasks that may crash their workers, as owners have told.
   std::map<JobId, RememberedSuspects> Suspects_;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -48,10 +48,10 @@
 //     -> {token, answers?: [{pool, had_by_other?}]}: the pool that each job
 //     goes to, and the registrar's token where CLAIMANT is job, pool, token,
 //     question
-//   pool.report  {home, token, pool} -> {token, jobs}, or {} from one that does
-//     not know yet what runs in the pool; by it the pool's owner promises to
-//     heed no registrar of the home with a lower token
-//     between entries
+//   pool.report  {home, token, pool} -> {token, question, jobs}, or {} from one
+//     that does not know yet what runs in the pool; by it the pool's owner
+//     promises to heed no registrar of the home with a lower token between
+//     entries
 //   workers.announce {workers} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.heard {workers} -> {unknown?: workers that it does not have}
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -12,21 +12,21 @@
 
 namespace {
 
-/// An owner remembers for so long how a job has ended. Callers that send it
-/// again meanwhile are told, instead of running it anew elsewhere.
+/// An owner remembers for so long how a job has ended, and callers that send it
+/// again meanwhile are told. None waits as long for a job that runs.
 constexpr Duration ClaimLasts = std::chrono::seconds(10);
+/// What a lost owner had ends with its lease, see leaseBound().
+constexpr Duration LeasesOver = std::chrono::milliseconds(1070);
 /// An owner of this data centre that has not reported by then is out of reach.
-/// Callers come back after 1.3 s, and what its entries have had there since is
+/// Callers come back after 1.3 s, and what its entries had there before is
 /// over.
 constexpr Duration NearOver = std::chrono::seconds(3);
 /// An owner of another data centre that cannot be asked does not hear this
-/// one's entries either: it has dropped their jobs, and their leases are over.
-constexpr Duration FarOver = std::chrono::seconds(1);
-/// What a lost owner had ends with its lease, see leaseBound(). An owner in
-/// another data centre misses a lost entry after OwnerSilence, and what it has
-/// for that one ends likewise, if it cannot be stopped.
-constexpr Duration LeasesOver = std::chrono::milliseconds(1070);
-
+/// one's entries either: it misses them after OwnerSilence and stops their
+/// jobs, and what it cannot stop ends with its lease.
+constexpr Duration FarOver = OwnerSilence + LeasesOver;
+/// One that does not know yet what runs in its pool is waited for longer.
+constexpr Duration NotYetLasts = std::chrono::milliseconds(500);
 } // namespace
 
 std::optional<PoolName> homeOf(const JobId &Id,
@@ -41,17 +41,23 @@
       FarOverAt_(Now + FarOver) {}
 
 void JobRegister::noteEntriesGone(Time At) {
-  NearOverAt_ = std::min(NearOverAt_, At + LeasesOver);
-  FarOverAt_ = std::min(FarOverAt_, At + OwnerSilence + LeasesOver);
+  NearGoneAt_ = At + LeasesOver;
+  FarGoneAt_ = At + FarOver;
+}
+
+void JobRegister::noteNotYet(Time Now) {
+  NearOverAt_ = std::max(NearOverAt_, Now + NotYetLasts);
+  FarOverAt_ = std::max(FarOverAt_, Now + NotYetLasts);
 }
 
-void JobRegister::takeReport(const PoolName &Pool, FencingToken PoolToken,
-                             const std::vector<JobId> &Jobs, Time Now) {
-  Reported_.insert(Pool);
+void JobRegister::takeReport(const Claimant &By, const std::vector<JobId> &Jobs,
+                             Time Now) {
+  Reported_.insert(By.Pool);
   for (const JobId &Id : Jobs) {
     auto Known = Claims_.find(Id);
-    if (Known == Claims_.end() || Known->second.By.Pool == Pool)
-      keep(Id, {Pool, PoolToken, 0}, Now);
+    if (Known == Claims_.end() || (Known->second.By.Pool == By.Pool &&
+                                   Known->second.By.Token <= By.Token))
+      keep(Id, By, Now);
   }
 }
 
@@ -62,8 +68,10 @@
 
 bool JobRegister::completeWith(const std::vector<PoolName> &Near,
                                const std::vector<PoolName> &Far, Time Now) {
-  bool NearKnown = Now >= NearOverAt_ || haveReported(Near);
-  bool FarKnown = Now >= FarOverAt_ || haveReported(Far);
+  bool NearKnown = Now >= NearOverAt_ || (NearGoneAt_ && Now >= *NearGoneAt_) ||
+                   haveReported(Near);
+  bool FarKnown = Now >= FarOverAt_ || (FarGoneAt_ && Now >= *FarGoneAt_) ||
+                  haveReported(Far);
   bool Before = std::exchange(Complete_, Complete_ || (NearKnown && FarKnown));
   return Complete_ && !Before;
 }
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -68,10 +68,11 @@
   FencingToken token() const { return Token_; }
   Time since() const { return Since_; }
 
-  /// Takes the jobs that the owner of \p Pool has under \p PoolToken. It heeds
-  /// no registrar with a lower token from now on.
-  void takeReport(const PoolName &Pool, FencingToken PoolToken,
-                  const std::vector<JobId> &Jobs, Time Now);
+  /// Takes the jobs that the owner \p By has, with its last question so far. It
+  /// heeds no registrar with a lower token from now on.
+  void takeReport(const Claimant &By, const std::vector<JobId> &Jobs, Time Now);
+  /// An owner does not know yet what runs in its pool, but it will.
+  void noteNotYet(Time Now);
   bool hasReported(const PoolName &Pool) const {
     return Reported_.count(Pool) != 0;
   }
@@ -111,6 +112,9 @@
   /// what those of others had.
   Time NearOverAt_;
   Time FarOverAt_;
+  /// The same where all entries of this data centre have started anew.
+  std::optional<Time> NearGoneAt_;
+  std::optional<Time> FarGoneAt_;
   std::set<PoolName> Reported_;
   bool Complete_ = false;
   std::unordered_map<JobId, Claim> Claims_;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -304,6 +304,9 @@
     return;
   Known = Told;
   LatestPings_.erase(From);
+  std::erase_if(Incoming_, [&](const IncomingPtr &Each) {
+    return Each->How.From.Origin == From && Each->How.From.Incarnation != Told;
+  });
   for (auto &[Name, In] : Pools_)
     if (In->scheduler())
       In->scheduler()->dropEarlier(From, Told);
--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -290,7 +290,7 @@
 
 std::optional<Time> earlierOwnersGoneBy(const PoolView &View, Time Claimed) {
   if (!ownsPool(View) || View.First != View.Owner.Token ||
-      !unansweredSince(View, Claimed).empty())
+      View.Ranked.size() < 2 || !unansweredSince(View, Claimed).empty())
     return std::nullopt;
   Time Latest;
   for (const Endpoint &Entry : View.Ranked) {
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -20,6 +20,8 @@
 constexpr const char *Module = "jobs";
 /// An owner is asked again for its report after this time.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+/// The same after its answer that it does not know yet.
+constexpr Duration ReportPause = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -48,11 +50,11 @@
     for (const auto &[Pool, Member] : Pools_)
       if (!Of->hasReported(Pool))
         askForReport(Home, *Of, *Member);
-    noteComplete(Home, *Of);
+    completeIfKnown(Home, *Of);
   }
 }
 
-void EntryJobs::noteComplete(const PoolName &Home, JobRegister &Of) {
+void EntryJobs::completeIfKnown(const PoolName &Home, JobRegister &Of) {
   std::vector<PoolName> Near;
   std::vector<PoolName> Far;
   for (const auto &[Name, In] : Pools_)
@@ -76,16 +78,23 @@
 void EntryJobs::askForReport(const PoolName &Home, JobRegister &Of,
                              PoolMember &About) {
   if (About.scheduler()) {
-    if (About.scheduler()->hasTakenOver())
-      Of.takeReport(About.name(), About.scheduler()->token(),
-                    jobsAtHome(Home, *About.scheduler()), Needs_.Clock.now());
+    FencingToken &Heeded = Heeded_[Home];
+    if (!About.scheduler()->hasTakenOver() || Heeded > Of.token())
+      return;
+    Heeded = Of.token();
+    Of.takeReport({About.name(), About.scheduler()->token(), LastQuestion_},
+                  jobsAtHome(Home, *About.scheduler()), Needs_.Clock.now());
     return;
   }
   const OwnerClaim &Owner = About.view().Owner;
   std::pair<PoolName, PoolName> Question{Home, About.name()};
-  if (Owner.Token == FencingToken(0) || Owner.At == Self_ ||
-      !ReportsUnderWay_.insert(Question).second)
+  if (Owner.Token == FencingToken(0) || Owner.At == Self_)
     return;
+  Time Now = Needs_.Clock.now();
+  auto Asked = ReportsAsked_.find(Question);
+  if (Asked != ReportsAsked_.end() && Now < Asked->second)
+    return;
+  ReportsAsked_[Question] = Now + ReportTimeout;
   Json::Value Params(Json::objectValue);
   Params["home"] = Home.value();
   Params["token"] = Json::UInt64(Of.token().value());
@@ -93,7 +102,7 @@
   Needs_.Client.call(
       Owner.At, wire::method::Report, std::move(Params), ReportTimeout,
       [this, Question, Token = Of.token()](const Outcome<Json::Value> &Result) {
-        ReportsUnderWay_.erase(Question);
+        ReportsAsked_[Question] = Needs_.Clock.now() + ReportPause;
         takeReport(Question.first, Token, Question.second, Result);
       });
 }
@@ -101,18 +110,24 @@
 void EntryJobs::takeReport(const PoolName &Home, FencingToken Token,
                            const PoolName &Pool,
                            const Outcome<Json::Value> &Result) {
-  if (!Result || !(*Result)["jobs"].isArray())
-    return;
   JobRegister *Of = registerOf(Home);
-  if (!Of || Of->token() != Token)
+  if (!Result || !Of || Of->token() != Token)
+    return;
+  Time Now = Needs_.Clock.now();
+  if (!(*Result)["jobs"].isArray())
+    return Of->noteNotYet(Now);
+  // Another owner of that pool may have jobs that this one has not.
+  FencingToken PoolToken(wire::numberOf(*Result, "token"));
+  const PoolMember *About = findPool(Pool);
+  if (!About || PoolToken < About->view().Owner.Token)
     return;
   std::vector<JobId> Jobs;
   for (const Json::Value &Each : (*Result)["jobs"])
     if (Each.isString())
       Jobs.emplace_back(Each.asString());
-  Of->takeReport(Pool, FencingToken(wire::numberOf(*Result, "token")), Jobs,
-                 Needs_.Clock.now());
-  noteComplete(Home, *Of);
+  Of->takeReport({Pool, PoolToken, wire::numberOf(*Result, "question")}, Jobs,
+                 Now);
+  completeIfKnown(Home, *Of);
 }
 
 std::vector<JobId> EntryJobs::jobsAtHome(const PoolName &Home,
@@ -141,6 +156,7 @@
     return Answer(std::move(Result));
   Heeded = Token;
   Result["token"] = Json::UInt64(In->scheduler()->token().value());
+  Result["question"] = Json::UInt64(LastQuestion_);
   Result["jobs"] = Json::Value(Json::arrayValue);
   for (const JobId &Id : jobsAtHome(PoolName(*Home), *In->scheduler()))
     Result["jobs"].append(Id.value());
@@ -150,7 +166,10 @@
 JobRegister *EntryJobs::completeRegisterOf(const PoolName &Home) {
   JobRegister *Of = registerOf(Home);
   // After a pause another registrar may be there.
-  return Of && Of->isComplete() && !hasJustPaused() ? Of : nullptr;
+  if (!Of || !Of->isComplete() || hasJustPaused())
+    return nullptr;
+  // One that this entry itself has reported to.
+  return Heeded_[Home] > Of->token() ? nullptr : Of;
 }
 
 std::optional<ClaimAnswer>
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t MostClaims = 64;
 /// Claims to give back that wait for a registrar to answer; others lapse.
 constexpr std::size_t MostReleases = 256;
+/// By then the claims have lapsed by themselves.
+constexpr Duration ReleasesLast = std::chrono::seconds(10);
 /// What the caller of a job is told to wait whose registrar is not found: a
 /// lost owner is replaced within that time.
 constexpr Duration RetryAfterNoRegistrar = std::chrono::seconds(1);
@@ -53,6 +55,7 @@
   New->Pool = In.name();
   New->Token = In.scheduler()->token();
   New->Since = Needs_.Clock.now();
+  New->Number = ++LastIncoming_;
   if (New->Home.value().empty() || In.scheduler()->hasAnswerFor(New->Wanted.Id))
     return runIncoming(New, In);
   if (New->Registrar)
@@ -120,6 +123,20 @@
       });
 }
 
+void EntryJobs::noteUnanswered(const PoolName &Home,
+                               const std::vector<Json::Value> &Releases) {
+  // The tick asks again.
+  Questions &Of = Questions_[Home];
+  Time Now = Needs_.Clock.now();
+  Of.NotBefore = Now + AskAgainAfter;
+  if (!Of.FailsSince)
+    Of.FailsSince = Now;
+  bool Lapsed = Now - *Of.FailsSince >= ReleasesLast;
+  for (const Json::Value &Each : Releases)
+    if (!Lapsed && Of.Releases.size() < MostReleases)
+      Of.Releases.push_back(Each);
+}
+
 void EntryJobs::takeRegistrarAnswer(const PoolName &Home, std::uint64_t Serial,
                                     const std::vector<IncomingPtr> &Asked,
                                     const std::vector<Json::Value> &Releases,
@@ -133,29 +150,26 @@
     return wire::readRegistrarWord(*Result);
   });
   if (!Told || Told->Answers.size() != Asked.size()) {
-    // The tick asks again.
     logEvent(
         LogLevel::Warning, Module, "registrar_silent",
         {{"home", Home},
-         {"registrar", Of.At.text()},
          {"jobs", Asked.size()},
          {"reason", Told ? "malformed answer" : Told.error().Message.c_str()}});
-    Of.NotBefore = Needs_.Clock.now() + AskAgainAfter;
-    for (const Json::Value &Each : Releases)
-      if (Of.Releases.size() < MostReleases)
-        Of.Releases.push_back(Each);
-    return;
+    return noteUnanswered(Home, Releases);
   }
   FencingToken &Heeded = Heeded_[Home];
+  const PoolMember *Known = findPool(Home);
+  if (Known && Known->isCandidate())
+    Heeded = std::max(Heeded, Known->view().LastClaim);
   if (Told->Token < Heeded) {
     logEvent(LogLevel::Warning, Module, "registrar_outdated",
              {{"home", Home},
               {"jobs", Asked.size()},
               {"token", Told->Token.value()},
               {"heeded", Heeded.value()}});
-    Of.NotBefore = Needs_.Clock.now() + AskAgainAfter;
-    return;
+    return noteUnanswered(Home, Releases);
   }
+  Of.FailsSince.reset();
   Heeded = Told->Token;
   for (std::size_t I = 0; I < Asked.size(); ++I) {
     if (Incoming_.count(Asked[I]) != 0)
@@ -247,12 +261,14 @@
 void EntryJobs::giveBack(const Incoming &Of) {
   if (Of.Question == 0 || holds(Of.Wanted.Id, Of.Pool))
     return;
+  // Later than all questions for the job so far.
+  Claimant By{Of.Pool, Of.Token, ++LastQuestion_};
   std::optional<Endpoint> Registrar = registrarOf(Of.Home);
   if (Registrar && *Registrar == Self_)
-    return releaseHere(Of.Home, Of.Wanted.Id, claimantOf(Of));
+    return releaseHere(Of.Home, Of.Wanted.Id, By);
   Questions &To = Questions_[Of.Home];
   if (To.Releases.size() < MostReleases)
-    To.Releases.push_back(wire::write(Of.Wanted.Id, claimantOf(Of)));
+    To.Releases.push_back(wire::write(Of.Wanted.Id, By));
   askRegistrar(Of.Home);
 }
 
--- a/src/jobs/tests/jobregistertest.cpp
+++ b/src/jobs/tests/jobregistertest.cpp
@@ -67,10 +67,10 @@
 TEST(JobRegisterTest, ItIsCompleteOnceAllOwnersHaveReported) {
   JobRegister Register = newRegister();
   EXPECT_FALSE(Register.completeWith({East, West}, {North}, Time(1ms)));
-  Register.takeReport(East, Earlier, {Job}, Time(1ms));
-  Register.takeReport(North, Earlier, {}, Time(1ms));
+  Register.takeReport(owner(East), {Job}, Time(1ms));
+  Register.takeReport(owner(North), {}, Time(1ms));
   EXPECT_FALSE(Register.completeWith({East, West}, {North}, Time(2ms)));
-  Register.takeReport(West, Earlier, {}, Time(3ms));
+  Register.takeReport(owner(West), {}, Time(3ms));
   EXPECT_TRUE(Register.completeWith({East, West}, {North}, Time(3ms)));
   EXPECT_TRUE(Register.isComplete());
   EXPECT_EQ(Register.claim(Job, owner(West), Time(4ms)).Pool, East);
@@ -81,17 +81,37 @@
 // What they had is over by then.
 TEST(JobRegisterTest, ItWaitsForSilentOwnersForAWhileOnly) {
   JobRegister Far = newRegister();
-  Far.takeReport(East, Earlier, {}, Time());
-  EXPECT_FALSE(Far.completeWith({East}, {North}, Time(999ms)));
-  EXPECT_TRUE(Far.completeWith({East}, {North}, Time(1s)));
+  Far.takeReport(owner(East), {}, Time());
+  EXPECT_FALSE(Far.completeWith({East}, {North}, Time(1519ms)));
+  EXPECT_TRUE(Far.completeWith({East}, {North}, Time(1520ms)));
   JobRegister Near = newRegister();
   EXPECT_FALSE(Near.completeWith({East}, {}, Time(2999ms)));
   EXPECT_TRUE(Near.completeWith({East}, {}, Time(3s)));
 }
 
+// Its pool may run what an earlier owner had.
+TEST(JobRegisterTest, ItWaitsLongerForAnOwnerThatDoesNotKnowYet) {
+  JobRegister Register = newRegister();
+  Register.takeReport(owner(East), {}, Time());
+  Register.noteNotYet(Time(1500ms));
+  EXPECT_FALSE(Register.completeWith({East}, {North}, Time(1999ms)));
+  Register.takeReport(owner(North), {Job}, Time(1999ms));
+  EXPECT_TRUE(Register.completeWith({East}, {North}, Time(1999ms)));
+  EXPECT_EQ(Register.claim(Job, owner(West), Time(2s)).Pool, North);
+}
+
+TEST(JobRegisterTest, AReportedClaimOutlivesAnOlderRelease) {
+  JobRegister Register = newRegister();
+  Register.takeReport(owner(East, Earlier, 7), {Job}, Time());
+  Register.release(Job, owner(East, Earlier, 6));
+  EXPECT_EQ(Register.claim(Job, owner(West), Time(1ms)).Pool, East);
+  Register.release(Job, owner(East, Earlier, 8));
+  EXPECT_EQ(Register.claim(Job, owner(West), Time(2ms)).Pool, West);
+}
+
 TEST(JobRegisterTest, ItWaitsForNobodyWhoseEntriesAreLongGone) {
   JobRegister Register(FencingToken(20), Time(10s));
-  Register.takeReport(East, Earlier, {}, Time(10s));
+  Register.takeReport(owner(East), {}, Time(10s));
   EXPECT_FALSE(Register.completeWith({East}, {North}, Time(10s)));
   Register.noteEntriesGone(Time(9s));
   EXPECT_FALSE(Register.completeWith({East}, {North}, Time(10519ms)));
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -291,6 +291,40 @@
   EXPECT_GT(View.Owner.Token, FencingToken(200));
 }
 
+// Guards against two registrars of one home: one that was replaced without
+// knowing it, and its successor, to which it has reported as the owner of a
+// pool.
+TEST(PoolsTest, ARegistrarAgreesToNothingOnceItHasReportedToAnother) {
+  EntryFake Fake(2, 4);
+  Fake.settleByRack();
+  auto Call = [&](const char *Method, const Json::Value &Params) {
+    std::optional<Outcome<Json::Value>> Result;
+    Fake.Net.Servers[Fake.Entries[0].At].at(Method)(
+        Params, [&](const Outcome<Json::Value> &Answer) { Result = Answer; });
+    return *Result;
+  };
+  std::string Home;
+  for (const char *Each : {"a/odd", "a/even"}) {
+    Json::Value Question(Json::objectValue);
+    Question["home"] = Each;
+    Question["claims"].append(
+        wire::write(JobId("job"), {PoolName("b/odd"), FencingToken(7), 1}));
+    if (Call(wire::method::Register, Question))
+      Home = Each;
+  }
+  ASSERT_FALSE(Home.empty());
+  Json::Value Report(Json::objectValue);
+  Report["home"] = Home;
+  Report["pool"] = Home;
+  Report["token"] = Json::UInt64(std::uint64_t{1} << 62U);
+  ASSERT_TRUE(Call(wire::method::Report, Report));
+  Json::Value Question(Json::objectValue);
+  Question["home"] = Home;
+  Question["claims"].append(
+      wire::write(JobId("next"), {PoolName("b/odd"), FencingToken(7), 2}));
+  EXPECT_FALSE(Call(wire::method::Register, Question));
+}
+
 TEST(PoolsTest, ACutChangesNoOwnerAndBothSidesServe) {
   EntryFake Fake(2, 4);
   Fake.settleByRack();
