Let an owner outbid a registrar that is gone

Cause: an owner that has reported to a registrar heeds no lower token. Where that registrar is lost, or has given its claim up, before the home's owner heard of its token, nobody would agree to a claim of that home for good. Found in reading the change; not seen in a run.

Now questions and reports say which token is heeded, and the home's owner takes a higher one if nobody answers for that claim, as for any other.

Test: PoolsTest.ARegistrarAgreesToNothingOnceItHasReportedToAnother asks again after 1.5 s; fails there without the change.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -217,6 +217,9 @@
   std::vector<JobId> jobsAtHome(const PoolName &Home,
                                 const Scheduler &Of) const;
   void answerReport(const Json::Value &Params, const Reply &Answer);
+  /// An owner heeds no registrar of \p Home below this token. Whoever had it
+  /// may be gone: the owner of the home outbids it then.
+  void noteHeeded(const PoolName &Home, FencingToken Heeded);
   /// The register if this entry may agree to claims by it; else null.
   JobRegister *completeRegisterOf(const PoolName &Home);
   /// Nothing if it may not.
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -44,12 +44,13 @@
 //                 echo_us, maybe_taken?, home?, registrar?}
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
 //   pool.drop    {pool, job, origin, incarnation, serial} -> {}
-//   pool.register {home, claims?: [CLAIMANT], releases?: [CLAIMANT]}
+//   pool.register {home, heeded, claims?: [CLAIMANT], releases?: [CLAIMANT]}
 //     -> {token, answers?: [{pool, had_by_other?}]}: the pool that each job
 //     goes to, and the registrar's token where CLAIMANT is job, pool, token,
 //     question
-//   pool.report  {home, token, pool} -> {token, question, jobs}, or {} from one
-//     that does not know yet what runs in the pool; by it the pool's owner
+//   pool.report  {home, token, pool} -> {heeded, token, question, jobs}, or
+//     {heeded} from one that does not know yet what runs in the pool, or heeds
+//     a later registrar; by it the pool's owner
 //     promises to heed no registrar of the home with a lower token between
 //     entries
 //   workers.announce {workers} and workers.leave {worker} -> {}
--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -27,6 +27,7 @@
 constexpr Duration FarOver = OwnerSilence + LeasesOver;
 /// One that does not know yet what runs in its pool is waited for longer.
 constexpr Duration NotYetLasts = std::chrono::milliseconds(500);
+
 } // namespace
 
 std::optional<PoolName> homeOf(const JobId &Id,
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -114,6 +114,7 @@
   if (!Result || !Of || Of->token() != Token)
     return;
   Time Now = Needs_.Clock.now();
+  noteHeeded(Home, FencingToken(wire::numberOf(*Result, "heeded")));
   if (!(*Result)["jobs"].isArray())
     return Of->noteNotYet(Now);
   // Another owner of that pool may have jobs that this one has not.
@@ -152,6 +153,7 @@
   bool Knows = In && In->scheduler() && ownsPool(In->view()) &&
                In->scheduler()->hasTakenOver();
   Json::Value Result(Json::objectValue);
+  Result["heeded"] = Json::UInt64(Heeded.value());
   if (!Knows || Token < Heeded)
     return Answer(std::move(Result));
   Heeded = Token;
@@ -163,13 +165,21 @@
   Answer(std::move(Result));
 }
 
+void EntryJobs::noteHeeded(const PoolName &Home, FencingToken Heeded) {
+  PoolMember *In = findPool(Home);
+  if (In && In->scheduler() && Heeded > In->scheduler()->token())
+    noteHighest(In->view(), Heeded);
+}
+
 JobRegister *EntryJobs::completeRegisterOf(const PoolName &Home) {
   JobRegister *Of = registerOf(Home);
   // After a pause another registrar may be there.
   if (!Of || !Of->isComplete() || hasJustPaused())
     return nullptr;
-  // One that this entry itself has reported to.
-  return Heeded_[Home] > Of->token() ? nullptr : Of;
+  // This entry itself may have reported to another one.
+  FencingToken Heeded = Heeded_[Home];
+  noteHeeded(Home, Heeded);
+  return Heeded > Of->token() ? nullptr : Of;
 }
 
 std::optional<ClaimAnswer>
@@ -211,6 +221,7 @@
   if (!Name || !Releases || !Claims)
     return Answer(Error{ErrorCode::InvalidArgument, "malformed message"});
   PoolName Home(*Name);
+  noteHeeded(Home, FencingToken(wire::numberOf(Params, "heeded")));
   const JobRegister *Of = completeRegisterOf(Home);
   if (!Of)
     return Answer(Error{ErrorCode::Unavailable,
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -101,6 +101,7 @@
   std::vector<IncomingPtr> Asked;
   Json::Value Params(Json::objectValue);
   Params["home"] = Home.value();
+  Params["heeded"] = Json::UInt64(Heeded_[Home].value());
   for (const IncomingPtr &Each : Incoming_) {
     if (Each->Home != Home || Asked.size() == MostClaims)
       continue;
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -323,6 +323,9 @@
   Question["claims"].append(
       wire::write(JobId("next"), {PoolName("b/odd"), FencingToken(7), 2}));
   EXPECT_FALSE(Call(wire::method::Register, Question));
+  // Nobody holds that claim: the owner of the home takes a higher one.
+  Fake.run(1500ms);
+  EXPECT_TRUE(Call(wire::method::Register, Question));
 }
 
 TEST(PoolsTest, ACutChangesNoOwnerAndBothSidesServe) {
