Ask for reports with growing pauses, and only once the asker knows its own pool

Cause: after a loss of all the owner of each home asks the owner of each pool, as often as every 50 ms while it does not know yet: with 75 pools some 5,600 questions a round; and each owner pinged up to 100 candidates ten times a second. At 300 VMs entries and control collapsed at the start.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -345,9 +345,16 @@
   std::map<Endpoint, std::uint64_t> LatestPings_;
   /// Of the homes that this entry owns.
   std::map<PoolName, JobRegister> Registers_;
-  /// When an owner is asked again for its report: of which home, about which
-  /// pool.
-  std::map<std::pair<PoolName, PoolName>, Time> ReportsAsked_;
+  /// A registrar's question to the owner of a pool.
+  struct ReportQuestion {
+    /// The token of the registrar.
+    FencingToken Of;
+    Time NotBefore;
+    /// Until it is asked again.
+    Duration Pause{0};
+  };
+  /// By home and pool.
+  std::map<std::pair<PoolName, PoolName>, ReportQuestion> ReportsAsked_;
   /// The highest token of a registrar of each home that this entry has answered
   /// or been answered by; it heeds no lower one.
   std::map<PoolName, FencingToken> Heeded_;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -161,11 +161,11 @@
       continue;
     for (const Endpoint &To : pingTargets(In->view(), Now))
       Due[To].insert(Name);
+    if (!Follow)
+      continue;
     if (youngAge())
       for (const Endpoint &To : In->candidatesToHear())
         Due[To].insert(Name);
-    if (!Follow)
-      continue;
     for (const Endpoint &To : followTargets(In->view(), Now))
       Due[To].insert(Name);
   }
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -20,8 +20,10 @@
 constexpr const char *Module = "jobs";
 /// An owner is asked again for its report after this time.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
-/// The same after its answer that it does not know yet.
-constexpr Duration ReportPause = std::chrono::milliseconds(50);
+/// The same after its answer, at first and at most: after a loss of all each
+/// new registrar asks the owners of all pools.
+constexpr Duration FirstReportPause = std::chrono::milliseconds(50);
+constexpr Duration LongestReportPause = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -47,9 +49,11 @@
     JobRegister *Of = registerOf(Home);
     if (!Of || Of->isComplete())
       continue;
-    for (const auto &[Pool, Member] : Pools_)
-      if (!Of->hasReported(Pool))
-        askForReport(Home, *Of, *Member);
+    // Others are likely to be ready when this owner is.
+    if (In->scheduler()->hasTakenOver())
+      for (const auto &[Pool, Member] : Pools_)
+        if (!Of->hasReported(Pool))
+          askForReport(Home, *Of, *Member);
     completeIfKnown(Home, *Of);
   }
 }
@@ -91,10 +95,12 @@
   if (Owner.Token == FencingToken(0) || Owner.At == Self_)
     return;
   Time Now = Needs_.Clock.now();
-  auto Asked = ReportsAsked_.find(Question);
-  if (Asked != ReportsAsked_.end() && Now < Asked->second)
+  ReportQuestion &Asked = ReportsAsked_[Question];
+  if (Asked.Of != Of.token())
+    Asked = {Of.token(), Time(), FirstReportPause};
+  if (Now < Asked.NotBefore)
     return;
-  ReportsAsked_[Question] = Now + ReportTimeout;
+  Asked.NotBefore = Now + ReportTimeout;
   Json::Value Params(Json::objectValue);
   Params["home"] = Home.value();
   Params["token"] = Json::UInt64(Of.token().value());
@@ -102,7 +108,9 @@
   Needs_.Client.call(
       Owner.At, wire::method::Report, std::move(Params), ReportTimeout,
       [this, Question, Token = Of.token()](const Outcome<Json::Value> &Result) {
-        ReportsAsked_[Question] = Needs_.Clock.now() + ReportPause;
+        ReportQuestion &Asked = ReportsAsked_[Question];
+        Asked.NotBefore = Needs_.Clock.now() + Asked.Pause;
+        Asked.Pause = std::min(Asked.Pause * 2, LongestReportPause);
         takeReport(Question.first, Token, Question.second, Result);
       });
 }
