Let go of a pool whose data centre has entries of its own again

What callers saw: some jobs at such a pool late or unanswered.

Cause: while no entry of a data centre is known, entries of others may own its pools, as in the first moments after a loss of all. When its own entries came, they chose an owner among themselves and never met the first one, which stayed owner by its own word: both fenced each other for ever, and each took a token ten seconds higher every second, which now makes it begin anew.

Now an owner that is no candidate any more gives the pool up.

--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -66,6 +66,10 @@
                                 bool Candidate) {
   Candidate_ = Candidate;
   takeEntries(View_, Ranked, Needs_.Clock.now());
+  // The pool's data centre has entries of its own again, which do not ask this
+  // one and have an owner among themselves.
+  if (!Candidate_ && View_.Owner.At == View_.Self)
+    View_.Owner = OwnerClaim();
 }
 
 bool PoolMember::isOwned() const {
