Ask a registrar that cannot agree less often the longer that lasts

Cause: while registers are not complete each owner asked each home's registrar every 25 ms with up to 64 jobs. With three homes in a data centre that is nothing; with 25 homes and 25 owners it is up to 25,000 such questions a second, just after a loss of all, when entries have their own work.

Change: the pause is half of the time since the first failure, 25 to 200 ms.

Not yet measured at 300 VMs when committed.

--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -22,8 +22,11 @@
 /// short of processor time needs its turn, and would get more to do by shorter
 /// times; its successor is asked at once.
 constexpr Duration RegisterTimeout = std::chrono::milliseconds(300);
-/// After a question that failed, or came to one that cannot agree yet.
+/// After a question that failed, or came to one that cannot agree yet; longer
+/// the longer that lasts. After a loss of all the owners of many pools ask the
+/// registrars of many homes in vain, and these must get to their own work.
 constexpr Duration AskAgainAfter = std::chrono::milliseconds(25);
+constexpr Duration LongestAskAgain = std::chrono::milliseconds(200);
 /// Jobs in one question. A registrar takes some milliseconds for so many.
 constexpr std::size_t MostClaims = 64;
 /// Claims to give back that wait for a registrar to answer; others lapse.
@@ -129,9 +132,10 @@
   // The tick asks again.
   Questions &Of = Questions_[Home];
   Time Now = Needs_.Clock.now();
-  Of.NotBefore = Now + AskAgainAfter;
   if (!Of.FailsSince)
     Of.FailsSince = Now;
+  Of.NotBefore = Now + std::clamp((Now - *Of.FailsSince) / 2, AskAgainAfter,
+                                  LongestAskAgain);
   bool Lapsed = Now - *Of.FailsSince >= ReleasesLast;
   for (const Json::Value &Each : Releases)
     if (!Lapsed && Of.Releases.size() < MostReleases)
