--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -45,14 +45,13 @@
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
 //   pool.drop    {pool, job, origin, incarnation, serial} -> {}
 //   pool.register {home, heeded, claims?: [CLAIMANT], releases?: [CLAIMANT]}
-//     -> {token, answers?: [{pool, had_by_other?}]}: the pool that each job
-//     goes to, and the registrar's token where CLAIMANT is job, pool, token,
-//     question
-//   pool.report  {home, token, pool} -> {heeded, token, question, jobs}, or
-//     {heeded} from one that does not know yet what runs in the pool, or heeds
-//     a later registrar; by it the pool's owner
-//     promises to heed no registrar of the home with a lower token between
-//     entries
+//     -> {token, answers?: [{pool, had_by_other?}]}
+//     from the owner of a pool to a registrar, which says with its token where
+//     each job goes; CLAIMANT is job, pool, token, question
+//   pool.report {home, token, pool} -> {heeded, token?, question?, jobs?}
+//     from a registrar to the owner of a pool, which promises by its answer to
+//     heed no registrar of the home with a lower token; without jobs: it does
+//     not know yet what runs there, or heeds a later registrar
 //   workers.announce {workers} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.heard {workers} -> {unknown?: workers that it does not have}
