Let a new owner use what it heard of crashing tasks before

Callers saw: a poisonous task that had been given up took three more workers down after its pool's owner was lost, six starts where five are the bound.

Cause: owners tell the entries that ping them which tasks may crash their workers. An entry used that for the jobs of its own callers only. When it became the owner itself, a job that another entry brought was counted anew, and it told nobody what it had heard, since only schedulers' own findings are told.

Evidence: play of NoCrashingTaskIsStartedOftenByManyOwners, with the log lines and starts by time: bad2 is given up at 7.03 s by the owner 10.0.1.1, which dies at 7.32 s; 10.0.1.2 owns the pool from 7.43 s on; 10.0.1.1 comes back at 11.29 s and brings bad2 at 14.26 s; 10.0.1.2, which had been told, orders runs 1 to 3 again.

Change: the scheduler of a new owner begins with what its entry has heard.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -379,7 +379,7 @@
   std::uint64_t LastIncoming_ = 0;
   std::uint64_t LastQuestion_ = 0;
   /// Tasks that may crash their workers, as owners have told.
-  std::map<JobId, RememberedSuspects> Suspects_;
+  SuspectsByJob Suspects_;
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
   std::uint64_t LastSerial_ = 0;
--- a/src/jobs/internal/entryworkers.cpp
+++ b/src/jobs/internal/entryworkers.cpp
@@ -101,7 +101,7 @@
     return *Place;
   PoolMemberNeeds Needs{Needs_.Workers,  Needs_.Clock,    Needs_.Timers,
                         Needs_.Measured, Lease_,          Peers_,
-                        Evacuated_,      KnowsAllWorkers_};
+                        Evacuated_,      KnowsAllWorkers_, Suspects_};
   Place = std::make_unique<PoolMember>(Needs, Name, DataCentre, Self_);
   Place->view().Stopping = Stopping_;
   RanksDue_ = true;
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -178,6 +178,8 @@
   ToldLoad_ = SteadyPoolLoad();
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
+  // Else the jobs that other entries bring would be counted anew.
+  Scheduler_->takeSuspects(Needs_.Suspects);
   Scheduler_->takeWorkers(Directory_);
 }
 
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -26,6 +26,8 @@
   const std::set<DataCentreId> &Evacuated;
   /// Whether control has told of all workers.
   const bool &KnowsAllWorkers;
+  /// Tasks that may crash their workers, as earlier owners have told.
+  const SuspectsByJob &Suspects;
 };
 
 class PoolMember {
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -135,9 +135,9 @@
   /// back elsewhere soon, and perhaps to another pool.
   void dropEarlier(const Endpoint &Origin, std::uint64_t Incarnation);
   /// Tasks of transient jobs that may crash their workers.
-  const std::unordered_map<JobId, RememberedSuspects> &suspects() const {
-    return Suspects_;
-  }
+  const SuspectsByJob &suspects() const { return Suspects_; }
+  /// Takes what an earlier owner has seen of them.
+  void takeSuspects(const SuspectsByJob &Seen) { Suspects_ = Seen; }
   /// The entries that wait for jobs.
   std::set<Endpoint> origins() const;
   /// Cancels the job durably and calls back; its tasks are stopped.
@@ -357,7 +357,7 @@
   std::unordered_map<TaskId, RunNumber> LastRuns_;
   std::unordered_set<JobId> Begun_;
   /// What was seen of tasks of transient jobs, for jobs that are sent again.
-  std::unordered_map<JobId, RememberedSuspects> Suspects_;
+  SuspectsByJob Suspects_;
   /// Transient jobs that were refused or given up before they began, and when.
   std::map<JobId, std::pair<Time, TransientEnd>> Refused_;
   /// Jobs that have ended, oldest first, with the time.
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace geraniumbay::jobs {
@@ -111,6 +112,7 @@
   Time Since;
   std::vector<SuspectTask> Tasks;
 };
+using SuspectsByJob = std::unordered_map<JobId, RememberedSuspects>;
 /// How long it is kept: callers send a job again for some seconds.
 constexpr Duration KeepSuspects = std::chrono::seconds(60);
 
--- a/src/jobs/tests/crashestest.cpp
+++ b/src/jobs/tests/crashestest.cpp
@@ -109,6 +109,28 @@
   EXPECT_LE(Play.mostStarts(), 4U);
 }
 
+// Guards against an owner that counts anew: it heard of the task as an entry,
+// and another entry, which did not, brings the job.
+TEST(CrashesTest, ANewOwnerUsesWhatItHeardBefore) {
+  CrashPlay Play(2, 6);
+  Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
+  std::size_t Owner = Play.Fake.owners().at(0);
+  ASSERT_EQ(Owner, 0U);
+  Play.Fake.submit(1, "bad", 1);
+  Play.Fake.run(8s);
+  std::uint64_t Starts = Play.mostStarts();
+  ASSERT_GE(Starts, 1U);
+  Play.Fake.crash(Owner);
+  Play.Fake.crash(3);
+  Play.Fake.run(2s);
+  Play.Fake.start(3);
+  Play.Fake.run(2s);
+  auto Again = Play.Fake.submit(3, "bad", 1);
+  Play.Fake.run(3s);
+  EXPECT_TRUE(failed(Again));
+  EXPECT_EQ(Play.mostStarts(), Starts);
+}
+
 TEST(CrashesTest, AStoredJobWithACrashingTaskFails) {
   CrashPlay Play(1, 6);
   Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
