Tell an entry that has just started which tasks crash their workers

Callers saw: as before, a poisonous task that was given up took up to three more workers down, six starts where five are the bound, once an owner had started anew.

Cause: an entry tells in its answers to pings only what its own schedulers have seen. A process that has just started and becomes the owner of a pool learns nothing from entries that know but own nothing. Like it: a scheduler that begins anew under a raised token forgot its own findings.

Change: who pings says while it is young, and is told all that is known, with ages, so that nothing is kept longer for being passed on. What is told is joined, not replaced. No message is added; answers to a process of less than 10 s are longer by what is known.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -117,9 +117,10 @@
   void answerPing(const Json::Value &Params, const Reply &Answer);
   void takePools(const Json::Value &From, const Endpoint &Speaker);
   void tellCandidates(const PoolMember &Of);
-  /// Suspected tasks of the jobs here. All entries that ping hear of them and
-  /// send them along with the job, so that the pool's next owner knows of them.
-  Json::Value writeSuspects() const;
+  /// Tasks that may crash their workers. All entries that ping hear of those
+  /// that this owner has seen and send them along with the job, so that the
+  /// pool's next owner knows of them; one that has just started hears of all.
+  SuspectsByJob suspectsToTell(bool AskerIsYoung) const;
   void takeSuspects(const Json::Value &From);
   void addSuspects(Ask &What) const;
   /// Gives up what waits here if this process has stood still.
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -166,6 +166,10 @@
                        Needs_.Clock,
                        Needs_.Timers,
                        Needs_.Measured};
+  // Else the jobs that other entries bring would be counted anew.
+  SuspectsByJob Suspects = Needs_.Suspects;
+  if (Scheduler_)
+    merge(Suspects, Scheduler_->suspects());
   Scheduler_.reset();
   LeaseSettings Lease = Needs_.Lease;
   OwnerLoss Loss =
@@ -178,8 +182,7 @@
   ToldLoad_ = SteadyPoolLoad();
   Scheduler_ =
       std::make_unique<Scheduler>(std::move(Needs), View_.Owner.Token, Lease);
-  // Else the jobs that other entries bring would be counted anew.
-  Scheduler_->takeSuspects(Needs_.Suspects);
+  Scheduler_->takeSuspects(Suspects);
   Scheduler_->takeWorkers(Directory_);
 }
 
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -27,8 +27,6 @@
 /// A process tells its age for so long: several times what a new owner may have
 /// to wait for.
 constexpr Duration YoungFor = std::chrono::seconds(10);
-/// Jobs with suspected tasks that an answer to a ping names.
-constexpr std::size_t MostSuspectJobs = 32;
 
 /// The owner's clock as a number that comes back to it.
 std::uint64_t stampOf(Time At) {
@@ -206,6 +204,8 @@
   Params["echo_us"] = Json::UInt64(Echoes_[To].Stamp);
   Params["sent_us"] = Json::UInt64(stampOf(Needs_.Clock.now()));
   Params["stopping"] = Stopping_;
+  if (youngAge())
+    Params["young"] = true;
   Needs_.Client.call(
       To, wire::method::Ping, std::move(Params), PingTimeout,
       [this, To, Sent = Needs_.Clock.now()](
@@ -240,31 +240,26 @@
     redispatchParked();
 }
 
-Json::Value EntryJobs::writeSuspects() const {
-  Json::Value Result(Json::objectValue);
-  for (const auto &[Name, In] : Pools_) {
-    const Scheduler *Of = In->scheduler();
-    if (!Of)
-      continue;
-    for (const auto &[Id, Kept] : Of->suspects())
-      if (Result.size() < MostSuspectJobs)
-        Result[Id.value()] = wire::write(Kept.Tasks);
-  }
+SuspectsByJob EntryJobs::suspectsToTell(bool AskerIsYoung) const {
+  SuspectsByJob Result;
+  if (AskerIsYoung)
+    Result = Suspects_;
+  for (const auto &[Name, In] : Pools_)
+    if (const Scheduler *Of = In->scheduler())
+      merge(Result, Of->suspects());
   return Result;
 }
 
 void EntryJobs::takeSuspects(const Json::Value &From) {
-  if (!From.isObject())
-    return;
   Time Now = Needs_.Clock.now();
-  std::erase_if(Suspects_, [&](const auto &Entry) {
-    return Now - Entry.second.Since >= KeepSuspects;
-  });
-  for (const std::string &Name : From.getMemberNames()) {
-    auto Tasks = attempt([&] { return wire::readSuspects(From[Name]); });
-    if (Tasks)
-      Suspects_[JobId(Name)] = {Now, std::move(*Tasks)};
-  }
+  SuspectsByJob Told = wire::readSuspectsByJob(From, Now);
+  if (Told.empty())
+    return;
+  forgetOld(Suspects_, Now);
+  merge(Suspects_, Told);
+  for (const auto &[Name, In] : Pools_)
+    if (In->scheduler())
+      In->scheduler()->takeSuspects(Told);
 }
 
 void EntryJobs::takePools(const Json::Value &From, const Endpoint &Speaker) {
@@ -348,8 +343,9 @@
   Result["stopping"] = Stopping_;
   if (auto Age = youngAge())
     Result["age_us"] = Json::UInt64(Age->count());
-  if (Json::Value Suspects = writeSuspects(); !Suspects.empty())
-    Result["suspects"] = std::move(Suspects);
+  SuspectsByJob Suspects = suspectsToTell(wire::isSet(Params, "young"));
+  if (!Suspects.empty())
+    Result["suspects"] = wire::write(Suspects, Needs_.Clock.now());
   Answer(std::move(Result));
 }
 
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -17,6 +17,7 @@
 #include "framework/metrics/metrics.h"
 #include "jobs/internal/batcher.h"
 #include "jobs/internal/pools.h"
+#include "jobs/internal/suspects.h"
 #include "jobs/internal/taskqueue.h"
 #include "jobs/internal/transientend.h"
 #include "jobs/internal/workersession.h"
@@ -136,8 +137,8 @@
   void dropEarlier(const Endpoint &Origin, std::uint64_t Incarnation);
   /// Tasks of transient jobs that may crash their workers.
   const SuspectsByJob &suspects() const { return Suspects_; }
-  /// Takes what an earlier owner has seen of them.
-  void takeSuspects(const SuspectsByJob &Seen) { Suspects_ = Seen; }
+  /// Takes what other owners have seen of them.
+  void takeSuspects(const SuspectsByJob &Seen) { merge(Suspects_, Seen); }
   /// The entries that wait for jobs.
   std::set<Endpoint> origins() const;
   /// Cancels the job durably and calls back; its tasks are stopped.
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -299,9 +299,7 @@
 }
 
 void Scheduler::forgetTransient(Time Now) {
-  std::erase_if(Suspects_, [&](const auto &Entry) {
-    return Now - Entry.second.Since >= KeepSuspects;
-  });
+  forgetOld(Suspects_, Now);
   std::erase_if(Refused_, [&](const auto &Entry) {
     return Now - Entry.second.first >= RefusalStands;
   });
--- a/src/jobs/internal/workerlosses.cpp
+++ b/src/jobs/internal/workerlosses.cpp
@@ -19,17 +19,6 @@
 /// what tasks take.
 constexpr Duration ReservedFor = std::chrono::seconds(2);
 
-/// The row of one task in a list of suspects.
-SuspectTask &rowOf(std::vector<SuspectTask> &In, std::uint32_t Step,
-                   std::uint32_t Index) {
-  auto Found = std::find_if(In.begin(), In.end(), [&](const SuspectTask &Each) {
-    return Each.Step == Step && Each.Index == Index;
-  });
-  if (Found != In.end())
-    return *Found;
-  return In.emplace_back(SuspectTask{Step, Index, {}});
-}
-
 } // namespace
 
 void Scheduler::loseRuns(WorkerSession &On, const char *Reason,
@@ -161,8 +150,7 @@
   std::vector<SuspectTask> Result = New.Suspects;
   auto Found = Suspects_.find(New.Id);
   if (Found != Suspects_.end())
-    for (const SuspectTask &Each : Found->second.Tasks)
-      scheduling::merge(rowOf(Result, Each.Step, Each.Index).Seen, Each.Seen);
+    merge(Result, Found->second.Tasks);
   return Result;
 }
 
--- a/src/jobs/tests/crashestest.cpp
+++ b/src/jobs/tests/crashestest.cpp
@@ -131,6 +131,28 @@
   EXPECT_EQ(Play.mostStarts(), Starts);
 }
 
+// Guards against an owner that has just started and counts anew what another
+// entry has heard of.
+TEST(CrashesTest, AnOwnerThatStartsAnewIsToldWhatOthersHaveHeard) {
+  CrashPlay Play(2, 6);
+  Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
+  const std::vector<std::size_t> Owner = {0};
+  ASSERT_EQ(Play.Fake.owners(), Owner);
+  Play.Fake.submit(0, "bad", 1);
+  Play.Fake.run(8s);
+  std::uint64_t Starts = Play.mostStarts();
+  ASSERT_GE(Starts, 1U);
+  for (std::size_t Entry : {0, 1, 2})
+    Play.Fake.crash(Entry);
+  Play.Fake.start(0);
+  Play.Fake.run(2s);
+  ASSERT_EQ(Play.Fake.owners(), Owner);
+  auto Again = Play.Fake.submit(0, "bad", 1);
+  Play.Fake.run(3s);
+  EXPECT_TRUE(failed(Again));
+  EXPECT_EQ(Play.mostStarts(), Starts);
+}
+
 TEST(CrashesTest, AStoredJobWithACrashingTaskFails) {
   CrashPlay Play(1, 6);
   Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
