Tell the next owners of a crashing task before it is started again

Callers saw: where owners of a pool died in series, each right after it had started a poisonous task, a sixth worker went down.

Cause: what an owner has seen is told in its answers to pings, every 100 ms. An owner that is lost in between takes with it that a worker was lost, and has already started the task once more.

Change: the owner pings the front of the ranks with what it has found before it gives the order.

Left: an owner that dies before it has noticed the first loss of a task takes that one start with it; nobody else knows of the run.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -112,7 +112,8 @@
   void tick();
   void pingAll();
   std::map<Endpoint, std::set<PoolName>> pingsDue(bool Follow) const;
-  void ping(const Endpoint &To, const std::set<PoolName> &About);
+  void ping(const Endpoint &To, const std::set<PoolName> &About,
+            bool TellsSuspects = false);
   void pinged(const Endpoint &To, Time Sent, const Outcome<Json::Value> &Reply);
   void answerPing(const Json::Value &Params, const Reply &Answer);
   void takePools(const Json::Value &From, const Endpoint &Speaker);
@@ -121,6 +122,8 @@
   /// that this owner has seen and send them along with the job, so that the
   /// pool's next owner knows of them; one that has just started hears of all.
   SuspectsByJob suspectsToTell(bool AskerIsYoung) const;
+  /// Tells those that may own the pool next at once.
+  void tellSuspects(const PoolMember &Of);
   void takeSuspects(const Json::Value &From);
   void addSuspects(Ask &What) const;
   /// Gives up what waits here if this process has stood still.
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -165,7 +165,8 @@
                        Needs_.Workers,
                        Needs_.Clock,
                        Needs_.Timers,
-                       Needs_.Measured};
+                       Needs_.Measured,
+                       [this] { Needs_.SuspectsFound(*this); }};
   // Else the jobs that other entries bring would be counted anew.
   SuspectsByJob Suspects = Needs_.Suspects;
   if (Scheduler_)
--- a/src/jobs/internal/poolmember.h
+++ b/src/jobs/internal/poolmember.h
@@ -14,6 +14,8 @@
 
 namespace geraniumbay::jobs {
 
+class PoolMember;
+
 /// What a member works with; all of it outlives the member.
 struct PoolMemberNeeds {
   IWorkerCalls &Workers;
@@ -28,6 +30,8 @@
   const bool &KnowsAllWorkers;
   /// Tasks that may crash their workers, as earlier owners have told.
   const SuspectsByJob &Suspects;
+  /// Called by an owner that has found more of them.
+  std::function<void(const PoolMember &)> SuspectsFound;
 };
 
 class PoolMember {
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -190,7 +190,8 @@
       ping(Entry, {Of.name()});
 }
 
-void EntryJobs::ping(const Endpoint &To, const std::set<PoolName> &About) {
+void EntryJobs::ping(const Endpoint &To, const std::set<PoolName> &About,
+                     bool TellsSuspects) {
   std::size_t &UnderWay = PingsUnderWay_[To];
   if (UnderWay >= MaxPings)
     return;
@@ -206,6 +207,8 @@
   Params["stopping"] = Stopping_;
   if (youngAge())
     Params["young"] = true;
+  if (TellsSuspects)
+    Params["suspects"] = wire::write(suspectsToTell(false), Needs_.Clock.now());
   Needs_.Client.call(
       To, wire::method::Ping, std::move(Params), PingTimeout,
       [this, To, Sent = Needs_.Clock.now()](
@@ -250,6 +253,11 @@
   return Result;
 }
 
+void EntryJobs::tellSuspects(const PoolMember &Of) {
+  for (const Endpoint &Next : frontRanks(Of.view(), Needs_.Clock.now()))
+    ping(Next, {Of.name()}, true);
+}
+
 void EntryJobs::takeSuspects(const Json::Value &From) {
   Time Now = Needs_.Clock.now();
   SuspectsByJob Told = wire::readSuspectsByJob(From, Now);
@@ -332,6 +340,7 @@
     noteHeard(Peers_, *From, wire::isSet(Params, "stopping"),
               Needs_.Clock.now());
     takePools(Params, *From);
+    takeSuspects(Params["suspects"]);
     noteEcho(*From, Params);
   }
   Json::Value Result(Json::objectValue);
--- a/src/jobs/internal/poolwatch.cpp
+++ b/src/jobs/internal/poolwatch.cpp
@@ -13,8 +13,13 @@
 
 namespace {
 
-/// The front of the ranks, up to as many that are alive as may have to take
-/// over.
+void addTarget(std::vector<Endpoint> &Targets, const Endpoint &Entry) {
+  if (std::find(Targets.begin(), Targets.end(), Entry) == Targets.end())
+    Targets.push_back(Entry);
+}
+
+} // namespace
+
 std::vector<Endpoint> frontRanks(const PoolView &View, Time Now) {
   std::vector<Endpoint> Targets;
   std::size_t Alive = 0;
@@ -28,13 +33,6 @@
   return Targets;
 }
 
-void addTarget(std::vector<Endpoint> &Targets, const Endpoint &Entry) {
-  if (std::find(Targets.begin(), Targets.end(), Entry) == Targets.end())
-    Targets.push_back(Entry);
-}
-
-} // namespace
-
 std::vector<Endpoint> pingTargets(const PoolView &View, Time Now) {
   std::vector<Endpoint> Targets;
   if (isSmallGroup(View) || !isOwnerAlive(View, Now))
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -56,6 +56,9 @@
   const IClock &Clock;
   ITimers &Timers;
   Metrics &Measured;
+  /// Called when a transient job's task may have crashed its worker, before it
+  /// is started again.
+  std::function<void()> SuspectsFound = nullptr;
 };
 
 /// Somebody who waits for a transient job: a request of an entry.
@@ -291,6 +294,7 @@
   /// The owner before may have lost a worker under each task of the job that
   /// does not run, and have been lost itself before it knew.
   void blameForOwner(const JobId &Id);
+  void noteSuspects(const std::vector<TaskLoss> &Losses);
   void rememberSuspects(const TaskLoss &Loss);
   /// What was seen of the job's tasks before, here and at other schedulers.
   std::vector<SuspectTask> knownSuspects(const Job &New) const;
--- a/src/jobs/internal/workerlosses.cpp
+++ b/src/jobs/internal/workerlosses.cpp
@@ -86,6 +86,7 @@
 }
 
 void Scheduler::lossesNoted(const std::vector<TaskLoss> &Losses) {
+  noteSuspects(Losses);
   for (const TaskLoss &Each : Losses) {
     const JobId &Id = Each.Task.Job;
     const Job *Of = jobOf(Id);
@@ -100,7 +101,6 @@
               {"alone", Each.Alone},
               {"suspected", !Record || Record->Seen.Suspected},
               {"given_up", Of->State == JobState::Failed}});
-    rememberSuspects(Each);
     if (Of->State == JobState::Active) {
       enqueue(Each.Task);
       continue;
@@ -126,8 +126,14 @@
         Changes.Lost.push_back({Task, scheduling::WorkerLoss::Silent, false});
     }
   apply(Transient_, Changes);
-  for (const TaskLoss &Each : Changes.Lost)
+  noteSuspects(Changes.Lost);
+}
+
+void Scheduler::noteSuspects(const std::vector<TaskLoss> &Losses) {
+  for (const TaskLoss &Each : Losses)
     rememberSuspects(Each);
+  if (!Losses.empty() && Needs_.SuspectsFound)
+    Needs_.SuspectsFound();
 }
 
 void Scheduler::rememberSuspects(const TaskLoss &Loss) {
--- a/src/jobs/tests/crashestest.cpp
+++ b/src/jobs/tests/crashestest.cpp
@@ -153,6 +153,27 @@
   EXPECT_EQ(Play.mostStarts(), Starts);
 }
 
+// Guards against owners that die right after they have started the task again,
+// before anybody has asked them.
+TEST(CrashesTest, ALossIsToldBeforeTheTaskIsStartedAgain) {
+  CrashPlay Play(2, 8);
+  Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
+  for (int Lost = 0; Lost < 2; ++Lost) {
+    std::size_t Owner = Play.Fake.owners().at(0);
+    std::uint64_t Before = Play.mostStarts();
+    Play.Fake.submit(Owner, "bad", 1);
+    for (int I = 0; I < 4000 && Play.mostStarts() < Before + 2; ++I)
+      Play.Fake.run(1ms);
+    ASSERT_EQ(Play.mostStarts(), Before + 2);
+    Play.Fake.run(1ms);
+    Play.Fake.crash(Owner);
+    Play.Fake.run(2s);
+  }
+  Play.Fake.submit(Play.Fake.owners().at(0), "bad", 1);
+  Play.Fake.run(8s);
+  EXPECT_LE(Play.mostStarts(), MostStarts);
+}
+
 TEST(CrashesTest, AStoredJobWithACrashingTaskFails) {
   CrashPlay Play(1, 6);
   Play.Fake.Workers.CrashingJobs.insert(JobId("bad"));
