Let entries wait longer for a slow leader and ask it less often

Callers saw, at 300 VMs: service back 5.5 s to not within 30 s after all entries were killed.

Cause: an entry without an owner puts its question to the leader every 100 ms, up to four at a time, and gives each up after 400 ms. When all entries start together, each needs whole lists; the leader takes 2 ms of a core for such an answer, 5 ms at its share, so most answers come after 400 ms. The leader goes on writing for those who have given up, they ask again on new connections, and nothing is ever answered in time: a collapse that keeps itself up. While it lasts no entry knows the division, so no pool is claimed.

That registrars and owners ask each other, which was suspected, is not what keeps service away in it: they never get so far.

Change: one question at a time to each control VM; it waits 400, 800, then 1,600 ms for its answer the more in a row were not answered, and the pause grows likewise; a VM without a turn for new connections counts as slow too. While the leader's answer is late another VM is asked who leads. Urgent questions of a large group are bounded as others are. Nothing changes for the first question.

--- a/src/jobs/internal/jobgateway.cpp
+++ b/src/jobs/internal/jobgateway.cpp
@@ -25,12 +25,9 @@
 /// What callers are told to wait while there is no leader: an election takes
 /// one to two seconds.
 constexpr Duration RetryAfterNoLeader = std::chrono::seconds(1);
-/// The same while no leader is known, or callers wait for what it says.
-constexpr Duration SearchInterval = std::chrono::milliseconds(100);
-constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
-/// Questions under way at a time: enough to find the leader among VMs that do
-/// not answer, few enough not to flood one that is slow.
-constexpr std::size_t MaxProbes = 4;
+/// VMs that are asked at a time: enough to find the leader among such as do not
+/// answer.
+constexpr std::ptrdiff_t MaxProbes = 4;
 /// A leader that has not confirmed itself for this long may be none any more.
 constexpr Duration ReadyFor = std::chrono::milliseconds(2500);
 
@@ -186,22 +183,60 @@
   Client_.call(From, Method, std::move(Params), Timeout, std::move(Done));
 }
 
+std::size_t JobGateway::unansweredByLeader() const {
+  if (!Leader_)
+    return 0;
+  auto Found = Questions_.find(*Leader_);
+  return Found == Questions_.end() ? 0 : Found->second.Unanswered;
+}
+
+std::optional<Endpoint> JobGateway::nextToProbe() {
+  auto IsUnderWay = [](const auto &Entry) { return Entry.second.Sent; };
+  if (std::count_if(Questions_.begin(), Questions_.end(), IsUnderWay) >=
+      MaxProbes)
+    return std::nullopt;
+  if (Leader_) {
+    const std::optional<Time> &Sent = Questions_[*Leader_].Sent;
+    if (!Sent)
+      return Leader_;
+    if (Clock_.now() - *Sent < scheduling::answerPatience(0))
+      return std::nullopt;
+    // Another one may lead by now.
+  }
+  for (std::size_t I = 0; I < ControlVms_.size(); ++I) {
+    NextVm_ = (NextVm_ + 1) % ControlVms_.size();
+    if (!Questions_[ControlVms_[NextVm_]].Sent)
+      return ControlVms_[NextVm_];
+  }
+  return std::nullopt;
+}
+
 void JobGateway::probe() {
-  if (ProbesUnderWay_ < MaxProbes) {
-    Endpoint To = target();
-    ++ProbesUnderWay_;
-    Client_.call(To, wire::method::Sync, Exchange_.Ask(), ProbeTimeout,
-                 [this, To](const Outcome<Json::Value> &Result) {
-                   --ProbesUnderWay_;
+  if (std::optional<Endpoint> To = nextToProbe()) {
+    Question &Of = Questions_[*To];
+    Of.Sent = Clock_.now();
+    Client_.call(*To, wire::method::Sync, Exchange_.Ask(),
+                 scheduling::answerPatience(Of.Unanswered),
+                 [this, To = *To](const Outcome<Json::Value> &Result) {
                    probed(To, Result);
                  });
   }
   bool Urgent = !ready() || Exchange_.IsUrgent();
-  Timers_.after(Urgent ? SearchInterval : AskPause_, [this] { probe(); });
+  Duration Pause =
+      Urgent ? scheduling::urgentPause(AskPause_, unansweredByLeader())
+             : AskPause_;
+  Timers_.after(Pause, [this] { probe(); });
 }
 
 void JobGateway::probed(const Endpoint &From,
                         const Outcome<Json::Value> &Result) {
+  Question &Of = Questions_[From];
+  Time Sent = Of.Sent.value_or(Clock_.now());
+  Of.Sent.reset();
+  // A VM that has no turn for new connections is slow too.
+  bool TimedOut = !Result && Clock_.now() - Sent >=
+                                 scheduling::answerPatience(Of.Unanswered);
+  Of.Unanswered = TimedOut ? Of.Unanswered + 1 : 0;
   if (!Result)
     return lost(From, Result.error().Message.c_str());
   Exchange_.Take(*Result, From);
@@ -217,7 +252,7 @@
   if (!ready())
     logEvent(LogLevel::Info, Module, "leader_found", {{"leader", From.text()}});
   Leader_ = From;
-  ReadyAt_ = Clock_.now();
+  ReadyAt_ = Sent;
   Duration Pause(
       static_cast<Duration::rep>(wire::numberOf(*Result, "ask_after_us")));
   AskPause_ = std::clamp(Pause, scheduling::ShortestAskPause,
--- a/src/jobs/internal/jobgateway.h
+++ b/src/jobs/internal/jobgateway.h
@@ -13,6 +13,7 @@
 #include "jobs/ijobgateway.h"
 #include "scheduling/askpace.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -64,6 +65,10 @@
                 const Outcome<Json::Value> &Result);
   void tryAgain(const std::shared_ptr<Ask> &What);
   void probe();
+  /// The leader, unless its answer is still to come; if that is late, or no
+  /// leader is known, another VM. Each VM has one question at a time.
+  std::optional<Endpoint> nextToProbe();
+  std::size_t unansweredByLeader() const;
   void probed(const Endpoint &From, const Outcome<Json::Value> &Result);
   /// The leader if it is known, else the control VMs in turn.
   Endpoint target();
@@ -79,8 +84,15 @@
   std::size_t NextVm_ = 0;
   /// The pause between questions, as the leader has told.
   Duration AskPause_ = scheduling::ShortestAskPause;
-  std::size_t ProbesUnderWay_ = 0;
-  /// When a leader last said that it can serve.
+  struct Question {
+    /// Of the one under way.
+    std::optional<Time> Sent;
+    /// Those in a row that were not answered in time.
+    std::size_t Unanswered = 0;
+  };
+  std::map<Endpoint, Question> Questions_;
+  /// When the question was sent to which a leader last answered that it can
+  /// serve.
   std::optional<Time> ReadyAt_;
 };
 
--- /dev/null
+++ b/src/jobs/tests/lossofalltest.cpp
@@ -0,0 +1,54 @@
+//===- lossofalltest.cpp - All entries are lost at once -------------------===//
+//
+// The load: all entries of a large deployment die at the same moment and start
+// again together. Each needs whole lists from one leader, every pool gets a new
+// owner and every home a new registrar within the same second, while callers
+// come back with their jobs.
+//
+//===----------------------------------------------------------------------===//
+
+#include "jobs/internal/jobmessages.h"
+#include "jobs/tests/controlfake.h"
+
+#include <gtest/gtest.h>
+
+namespace geraniumbay::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+void restartAll(EntryFake &Fake) {
+  for (std::size_t I = 0; I < Fake.Entries.size(); ++I)
+    Fake.crash(I);
+  Fake.run(500ms);
+  for (std::size_t I = 0; I < Fake.Entries.size(); ++I)
+    Fake.start(I);
+  Fake.Net.Sent.clear();
+}
+
+bool areAllReady(const EntryFake &Fake) {
+  return std::all_of(Fake.Entries.begin(), Fake.Entries.end(),
+                     [](const FakeEntry &Each) { return Each.Jobs->ready(); });
+}
+
+// Guards against entries that keep a leader busy with answers which nobody
+// waits for any more: it needs several times the patience of a question to
+// write the lists for all of them once.
+TEST(LossOfAllTest, EntriesThatStartTogetherAreServedByASlowLeader) {
+  constexpr int EntriesEach = 147;
+  EntryFake Fake(EntriesEach, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  ASSERT_TRUE(areAllReady(Fake));
+  constexpr double SlowBytesPerMilli = 5'000;
+  Fake.Net.BytesPerMilli[Fake.controlAddress().Address] = SlowBytesPerMilli;
+  restartAll(Fake);
+  Fake.run(4s);
+  EXPECT_TRUE(areAllReady(Fake));
+  constexpr std::uint64_t QuestionsEach = 12;
+  EXPECT_LE(Fake.Net.Sent[wire::method::Sync],
+            QuestionsEach * Fake.Entries.size());
+}
+
+} // namespace
+} // namespace geraniumbay::jobs
--- a/src/scheduling/askpace.cpp
+++ b/src/scheduling/askpace.cpp
@@ -16,4 +16,18 @@
   return std::clamp(Even, ShortestAskPause, LongestAskPause);
 }
 
+Duration urgentPause(Duration Told, std::size_t Unanswered) {
+  constexpr Duration First = std::chrono::milliseconds(100);
+  constexpr std::size_t MostDoublings = 3;
+  constexpr int UrgentShare = 3;
+  Duration Backoff = First * (1U << std::min(Unanswered, MostDoublings));
+  return std::max(Backoff, Told / UrgentShare);
+}
+
+Duration answerPatience(std::size_t Unanswered) {
+  constexpr Duration First = std::chrono::milliseconds(400);
+  constexpr std::size_t MostDoublings = 2;
+  return First * (1U << std::min(Unanswered, MostDoublings));
+}
+
 } // namespace geraniumbay::scheduling
--- a/src/scheduling/askpace.h
+++ b/src/scheduling/askpace.h
@@ -5,6 +5,12 @@
 // there is news. Above some number of entries each asks less often, so that the
 // questions of all together take a bounded share of the leader.
 //
+// The second pattern is a leader that cannot answer in time, as when all
+// entries start at once and need whole lists: entries that give their questions
+// up and put them again keep it busy with answers that nobody waits for. Each
+// waits longer for its answer, and longer before it asks again, the more of its
+// questions were not answered.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef GERANIUMBAY_SCHEDULING_ASKPACE_H
@@ -28,6 +34,14 @@
 /// How long each of \p Entries waits before it asks again.
 Duration askPause(std::size_t Entries);
 
+/// The pause of an entry that needs an answer now. \p Told: its usual pause;
+/// \p Unanswered: its last questions in a row that the leader did not answer.
+Duration urgentPause(Duration Told, std::size_t Unanswered);
+
+/// How long the next question waits for its answer. At first as long as shows
+/// that a leader which is there does not answer.
+Duration answerPatience(std::size_t Unanswered);
+
 } // namespace geraniumbay::scheduling
 
 #endif // GERANIUMBAY_SCHEDULING_ASKPACE_H
--- a/src/scheduling/tests/askpacetest.cpp
+++ b/src/scheduling/tests/askpacetest.cpp
@@ -26,5 +26,20 @@
   EXPECT_EQ(askPause(5000), LongestAskPause);
 }
 
+TEST(AskPaceTest, WhoIsNotAnsweredWaitsLongerAndAsksLessOften) {
+  for (std::size_t Unanswered = 0; Unanswered < 5; ++Unanswered) {
+    EXPECT_LE(answerPatience(Unanswered), answerPatience(Unanswered + 1));
+    EXPECT_LE(urgentPause(ShortestAskPause, Unanswered),
+              urgentPause(ShortestAskPause, Unanswered + 1));
+  }
+  EXPECT_GT(answerPatience(1), answerPatience(0));
+  EXPECT_GT(urgentPause(ShortestAskPause, 1), urgentPause(ShortestAskPause, 0));
+  EXPECT_EQ(answerPatience(100), answerPatience(5));
+}
+
+TEST(AskPaceTest, UrgentQuestionsOfALargeGroupAreBoundedToo) {
+  EXPECT_GT(urgentPause(LongestAskPause, 0), urgentPause(ShortestAskPause, 0));
+}
+
 } // namespace
 } // namespace geraniumbay::scheduling
