Write the list of all entries once for those that start together

Cause: after a loss of all entries at 300 VMs each needs the whole list of entries. The leader built it for each anew, an object with two texts for each of 294 entries: of 1.7 ms for such an answer without its encoding (a micro-measurement on this machine, 294 entries and 75 owners) entries took about half, and 0.4 ms more to copy and encode. At 0.4 of a core that is over a second for all of them.

Change: the list is one text for each data centre, and is kept until it changes; its digest too.

--- a/src/jobs/internal/entrysync.cpp
+++ b/src/jobs/internal/entrysync.cpp
@@ -28,17 +28,6 @@
 /// How often a list of entries that has not changed counts as told again.
 constexpr Duration NamedAgainAfter = std::chrono::seconds(5);
 
-std::vector<EntryPlace> readEntries(const Json::Value &From) {
-  std::vector<EntryPlace> Result;
-  for (const Json::Value &Each : From) {
-    auto At = attempt([&] { return wire::readEndpoint(Each, "at"); });
-    auto Where = attempt([&] { return json::readString(Each, "data_centre"); });
-    if (At && Where)
-      Result.push_back({*At, DataCentreId(*Where)});
-  }
-  return Result;
-}
-
 } // namespace
 
 Json::Value EntryJobs::askControl() const {
@@ -201,7 +190,7 @@
 }
 
 bool EntryJobs::takeNamedEntries(const Json::Value &Result) {
-  if (Result["entries"].isArray()) {
+  if (Result.isMember("entries")) {
     ToldEntries_ = readEntries(Result["entries"]);
     return true;
   }
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -16,10 +16,11 @@
 //     -> {leader, ready, members, schedules, configuration?, document?,
 //         large_document?, workers_of?, workers_change?, workers?, removed?,
 //         many_workers?, all_workers?, no_others?, evacuations?, ask_after_us?,
-//         lists_of?, entries_change?, entries?: [{at, data_centre}],
-//         entries_new?, entries_same?, by_rack?, rack_groups?: {DATA_CENTRE:
-//         {RACK: GROUP}}, owners_change?, loads_after?, owners?: {POOL: REPORT,
-//         or null where the owner is silent}}
+//         lists_of?, entries_change?, entries?: {DATA_CENTRE:
+//         "ADDRESS ADDRESS ..."}, entries_new?, entries_same?, by_rack?,
+//         rack_groups?: {DATA_CENTRE: {RACK: GROUP}}, owners_change?,
+//         loads_after?, owners?: {POOL: REPORT, or null where the owner is
+//         silent}}
 //     from an entry: what has changed since what it has. Only the leader tells
 //     of workers, entries and owners. What is large is named only. REPORT is
 //     owner, token, load; pools whose load alone has changed are told some at a
--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -74,6 +74,7 @@
   void pending(const Json::Value &Params, const Reply &Answer);
   /// What has changed for the entry that asks.
   void tellEntry(const Json::Value &Params, Json::Value &Into);
+  void tellAllEntries(const Json::Value &Params, Json::Value &Into);
   void tellEntries(const Json::Value &Params, Json::Value &Into);
   /// Whether the entries that the asker knows have had the time to ask.
   bool haveEntriesAsked(const Json::Value &Params) const;
@@ -169,6 +170,14 @@
   /// The last change by which an entry went: who has not heard of it is told
   /// all anew.
   std::uint64_t EntryGoneAt_ = 0;
+  /// The whole list as it is told. All that start together ask for it.
+  struct WrittenEntries {
+    /// Of EntriesChange_.
+    std::uint64_t Change = 0;
+    std::uint64_t Digest = 0;
+    Json::Value Written;
+  };
+  WrittenEntries AllEntries_;
   std::uint64_t OwnersChange_ = 0;
   /// What the owner of a pool said last, and when; null once it is silent.
   struct OwnerWord {
--- a/src/jobs/internal/pools.cpp
+++ b/src/jobs/internal/pools.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <cmath>
+#include <sstream>
 
 namespace geraniumbay::jobs {
 
@@ -52,6 +53,31 @@
   return Digest;
 }
 
+Json::Value write(const std::vector<EntryPlace> &Entries) {
+  std::map<DataCentreId, std::string> Texts;
+  for (const EntryPlace &Each : Entries)
+    Texts[Each.DataCentre] += Each.At.text() + " ";
+  Json::Value Result(Json::objectValue);
+  for (const auto &[DataCentre, Text] : Texts)
+    Result[DataCentre.value()] = Text;
+  return Result;
+}
+
+std::vector<EntryPlace> readEntries(const Json::Value &From) {
+  std::vector<EntryPlace> Result;
+  if (!From.isObject())
+    return Result;
+  for (const std::string &DataCentre : From.getMemberNames()) {
+    if (!From[DataCentre].isString())
+      continue;
+    std::istringstream Words(From[DataCentre].asString());
+    for (std::string Word; Words >> Word;)
+      if (auto At = attempt([&] { return parseEndpoint(Word); }))
+        Result.push_back({*At, DataCentreId(DataCentre)});
+  }
+  return Result;
+}
+
 std::vector<Endpoint> candidatesFor(PoolPlan Plan,
                                     const DataCentreId &DataCentre,
                                     const std::vector<EntryPlace> &Entries) {
--- a/src/jobs/internal/pools.h
+++ b/src/jobs/internal/pools.h
@@ -46,6 +46,12 @@
 /// Processes of one build agree on it.
 std::uint64_t digestOf(const EntryPlace &Place);
 
+/// The addresses by data centre, each with a space behind it: one text for
+/// hundreds of entries is written in a tenth of the time of a list.
+Json::Value write(const std::vector<EntryPlace> &Entries);
+/// Leaves out what is malformed.
+std::vector<EntryPlace> readEntries(const Json::Value &From);
+
 /// Who may own a pool: the entries of its data centre, or all where it has
 /// none or there is one pool only. Sorted by address.
 std::vector<Endpoint> candidatesFor(PoolPlan Plan,
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -126,22 +126,29 @@
       isOfThisTerm(Params) ? wire::numberOf(Params, "entries_change") : 0;
   if (Since == EntriesChange_)
     return;
-  bool Whole = Since == 0 || Since < EntryGoneAt_;
-  std::uint64_t Digest = 0;
-  Json::Value Told(Json::arrayValue);
-  for (const auto &[Place, Known] : Entries_) {
-    Digest ^= digestOf(Place);
-    if (!Whole && Known.ChangedAt <= Since)
-      continue;
-    Json::Value Each(Json::objectValue);
-    Each["at"] = Place.At.text();
-    Each["data_centre"] = Place.DataCentre.value();
-    Told.append(std::move(Each));
+  if (Since == 0 || Since < EntryGoneAt_)
+    return tellAllEntries(Params, Into);
+  std::vector<EntryPlace> New;
+  for (const auto &[Place, Known] : Entries_)
+    if (Known.ChangedAt > Since)
+      New.push_back(Place);
+  Into["entries_new"] = write(New);
+}
+
+void JobService::tellAllEntries(const Json::Value &Params, Json::Value &Into) {
+  if (AllEntries_.Change != EntriesChange_) {
+    std::vector<EntryPlace> All;
+    AllEntries_ = {EntriesChange_, 0, {}};
+    for (const auto &[Place, Known] : Entries_) {
+      AllEntries_.Digest ^= digestOf(Place);
+      All.push_back(Place);
+    }
+    AllEntries_.Written = write(All);
   }
-  if (Whole && wire::numberOf(Params, "entries_digest") == Digest)
+  if (wire::numberOf(Params, "entries_digest") == AllEntries_.Digest)
     Into["entries_same"] = true;
   else
-    Into[Whole ? "entries" : "entries_new"] = std::move(Told);
+    Into["entries"] = AllEntries_.Written;
 }
 
 void JobService::noteOwner(const PoolName &Name, const Json::Value &Claim,
--- a/src/jobs/tests/entryfake.cpp
+++ b/src/jobs/tests/entryfake.cpp
@@ -133,44 +133,43 @@
 
 void EntryFake::offerControl() {
   ControlRpc_ = std::make_unique<FakePeerRpc>(Net, Control_);
-  ControlRpc_->method(
-      wire::method::Sync,
-      [this](const Json::Value &Params, const IRpcServer::Reply &Answer) {
-        if (ControlAway)
-          return;
-        Json::Value Result(Json::objectValue);
-        Result["leader"] = "";
-        Result["ready"] = true;
-        Result["schedules"] = false;
-        Result["by_rack"] = ByRack;
-        if (ByRack)
-          Result["rack_groups"] = rackGroups();
-        Result["lists_of"] = Json::UInt64(ListTerm);
-        Result["all_workers"] = !ListIsPartial;
-        const Json::Value &Owned = Params["owned"];
-        if (Owned.isObject())
-          for (const std::string &Name : Owned.getMemberNames())
-            OwnersTold_[Name] = Owned[Name];
-        Result["owners"] = OwnersTold_;
-        Result["configuration"] = 1;
-        Result["document"] = "document";
-        Asked_[Params["entry"].asString()] = Params["data_centre"].asString();
-        for (const auto &[At, Where] : Asked_) {
-          Json::Value Named(Json::objectValue);
-          Named["at"] = At;
-          Named["data_centre"] = Where;
-          Result["entries"].append(Named);
-        }
-        if (Params["workers_of"].asUInt64() != ListTerm) {
-          Result["workers_of"] = Json::UInt64(ListTerm);
-          Result["no_others"] = !ListIsPartial;
-          Result["workers_change"] = 1;
-          Result["workers"] = Json::Value(Json::arrayValue);
-          for (const WorkerInfo &Info : Announced_)
-            Result["workers"].append(write(Info));
-        }
-        Answer(Result);
-      });
+  ControlRpc_->method(wire::method::Sync, [this](
+                                              const Json::Value &Params,
+                                              const IRpcServer::Reply &Answer) {
+    if (ControlAway)
+      return;
+    Json::Value Result(Json::objectValue);
+    Result["leader"] = "";
+    Result["ready"] = true;
+    Result["schedules"] = false;
+    Result["by_rack"] = ByRack;
+    if (ByRack)
+      Result["rack_groups"] = rackGroups();
+    Result["lists_of"] = Json::UInt64(ListTerm);
+    Result["all_workers"] = !ListIsPartial;
+    const Json::Value &Owned = Params["owned"];
+    if (Owned.isObject())
+      for (const std::string &Name : Owned.getMemberNames())
+        OwnersTold_[Name] = Owned[Name];
+    Result["owners"] = OwnersTold_;
+    Result["configuration"] = 1;
+    Result["document"] = "document";
+    Asked_[Params["entry"].asString()] = Params["data_centre"].asString();
+    std::vector<EntryPlace> Named;
+    for (const auto &[At, Where] : Asked_)
+      Named.push_back({*attempt([&, Text = At] { return parseEndpoint(Text); }),
+                       DataCentreId(Where)});
+    Result["entries"] = write(Named);
+    if (Params["workers_of"].asUInt64() != ListTerm) {
+      Result["workers_of"] = Json::UInt64(ListTerm);
+      Result["no_others"] = !ListIsPartial;
+      Result["workers_change"] = 1;
+      Result["workers"] = Json::Value(Json::arrayValue);
+      for (const WorkerInfo &Info : Announced_)
+        Result["workers"].append(write(Info));
+    }
+    Answer(Result);
+  });
 }
 
 Json::Value EntryFake::rackGroups() const {
