Ask the front of the ranks only while nobody has answered yet

Cause: an entry that has just started knows of nobody that is alive, so it pinged all entries of its data centre, for each pool, until the first had answered: with 98 entries in a data centre nearly 10,000 pings a round, each with its words on 25 pools, in the moment in which all have other work.

--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -218,8 +218,8 @@
 bool isOwnerAlive(const PoolView &View, Time Now);
 bool ownsPool(const PoolView &View);
 
-/// The front of the ranks, up to as many that are alive as may have to take
-/// over.
+/// The front of the ranks, up to as many as may have to take over that are
+/// alive, or may be.
 std::vector<Endpoint> frontRanks(const PoolView &View, Time Now);
 /// Whom to ping each PingInterval.
 std::vector<Endpoint> pingTargets(const PoolView &View, Time Now);
--- a/src/jobs/internal/poolwatch.cpp
+++ b/src/jobs/internal/poolwatch.cpp
@@ -18,17 +18,26 @@
     Targets.push_back(Entry);
 }
 
+/// Whether \p Entry has not yet had the time to answer since this process
+/// started. Else an entry that knows nobody would ask the whole group.
+bool isStillUnknown(const PoolView &View, const Endpoint &Entry, Time Now) {
+  if (!View.PeersSince || Now - *View.PeersSince >= DeadAfter)
+    return false;
+  const PeerHealth *Health = findPeer(*View.Peers, Entry);
+  return !Health || (!Health->Answered && !Health->Refused);
+}
+
 } // namespace
 
 std::vector<Endpoint> frontRanks(const PoolView &View, Time Now) {
   std::vector<Endpoint> Targets;
-  std::size_t Alive = 0;
+  std::size_t MayTakeOver = 0;
   for (const Endpoint &Entry : View.Ranked) {
-    if (Entry == View.Self || Alive >= PingedRanks)
+    if (Entry == View.Self || MayTakeOver >= PingedRanks)
       continue;
     Targets.push_back(Entry);
-    if (wasAliveLately(View, Entry, Now))
-      ++Alive;
+    if (wasAliveLately(View, Entry, Now) || isStillUnknown(View, Entry, Now))
+      ++MayTakeOver;
   }
   return Targets;
 }
--- a/src/jobs/tests/lossofalltest.cpp
+++ b/src/jobs/tests/lossofalltest.cpp
@@ -50,5 +50,23 @@
             QuestionsEach * Fake.Entries.size());
 }
 
+/// Pings of an entry in the first moments after all have started again.
+double pingsEach(int EntriesEach) {
+  EntryFake Fake(EntriesEach, 60);
+  ControlFake Control(Fake, "document");
+  Fake.run(4s);
+  restartAll(Fake);
+  Fake.run(500ms);
+  return static_cast<double>(Fake.Net.Sent[wire::method::Ping]) /
+         static_cast<double>(Fake.Entries.size());
+}
+
+// Guards against entries that know nobody yet and ask the whole group.
+TEST(LossOfAllTest, PingsOfAnEntryDoNotGrowWithTheGroup) {
+  double Few = pingsEach(10);
+  EXPECT_LE(pingsEach(30), Few * 1.1);
+  EXPECT_LE(pingsEach(90), Few * 1.1);
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
