--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -35,11 +35,11 @@
 //     -> {workers_of, workers_change, workers, removed?, evacuations?}
 //     or {leader}; a follower has the whole list of its leader's term lists_of
 //   pool.ping    {from, incarnation, pools: {POOL: CLAIM}, echo_us, sent_us,
-//                 stopping} -> {pools: {POOL: CLAIM}, stamp_us, stopping,
-//                 age_us? (of a young process),
-//                 suspects?: {JOB: tasks that may crash workers}}
-//     where CLAIM is owner, token, highest, first? (the first token that was
-//     heard of), workers? and load? (of an owner), settled?, lets_go?, rival?,
+//                 stopping, young?, suspects?}
+//     -> {pools: {POOL: CLAIM}, stamp_us, stopping, age_us? (of a young
+//         process), suspects?: {JOB: {age_us, tasks that may crash workers}}}
+//     where CLAIM is owner, token, highest, first? (the first token that it
+//     made or was told by its maker), workers? and load? (of an owner), settled?, lets_go?, rival?,
 //     rival_token?
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
 //                 echo_us, maybe_taken?, home?, registrar?}
