--- a/src/jobs/internal/poolview.cpp
+++ b/src/jobs/internal/poolview.cpp
@@ -170,7 +170,7 @@
   View.Highest = std::max(View.Highest, Claim.Token);
   if (Claim.Token == FencingToken(0) || Claim.At == View.Self)
     return false;
-  if (View.First == FencingToken(0) && Claim.At == Speaker)
+  if (View.First == FencingToken(0))
     View.First = Claim.Token;
   bool Owned = View.Owner.Token != FencingToken(0);
   if (Owned && Claim.At == View.Owner.At) {
--- a/src/jobs/internal/poolview.h
+++ b/src/jobs/internal/poolview.h
@@ -92,7 +92,7 @@
   std::optional<Time> LetsGoAt;
   /// Of an owner: it knows all that runs there.
   bool Settled = false;
-  /// The first claim that it made or was told by its maker.
+  /// The first claim that it has ever heard of.
   FencingToken First;
 };
 
@@ -138,8 +138,7 @@
   std::optional<Time> RivalSince;
   /// The owner before; only of an entry that has claimed the pool.
   OwnerClaim Earlier;
-  /// The first claim that this process made or was told by its maker. What
-  /// others pass on may be of a process that is gone.
+  /// The first claim that was heard of.
   FencingToken First;
   /// The highest claim that was heard of; lower ones are of the past.
   FencingToken LastClaim;
