Revert "Let one entry of a data centre collect the reports that new registrars need"

The questions grow with the pools then, but what they carry does not: 25 homes times 75 pools go through one entry with an eighth of a core, which has its own pool to take over.

Also a parameter that the linter wants moved.

--- a/src/jobs/internal/entryjobs.cpp
+++ b/src/jobs/internal/entryjobs.cpp
@@ -77,10 +77,6 @@
                        [this](const Json::Value &Params, const Reply &Answer) {
                          answerRegister(Params, Answer);
                        });
-  Needs_.Server.method(wire::method::Reports,
-                       [this](const Json::Value &Params, const Reply &Answer) {
-                         answerReports(Params, Answer);
-                       });
   Needs_.Server.method(wire::method::Report,
                        [this](const Json::Value &Params, const Reply &Answer) {
                          answerReport(Params, Answer);
--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -211,7 +211,16 @@
   // The registers of the homes that this entry owns (registrar.cpp).
   /// Null unless this entry owns \p Home.
   JobRegister *registerOf(const PoolName &Home);
+  /// Asks the owners of pools for what they have, for registers that are not
+  /// complete.
+  void collectReports();
+  void askForReport(const PoolName &Home, JobRegister &Of, PoolMember &About);
+  void takeReport(const PoolName &Home, FencingToken Token,
+                  const PoolName &Pool, const Outcome<Json::Value> &Result);
   void completeIfKnown(const PoolName &Home, JobRegister &Of);
+  std::vector<JobId> jobsAtHome(const PoolName &Home,
+                                const Scheduler &Of) const;
+  void answerReport(const Json::Value &Params, const Reply &Answer);
   /// An owner heeds no registrar of \p Home below this token. Whoever had it
   /// may be gone: the owner of the home outbids it then.
   void noteHeeded(const PoolName &Home, FencingToken Heeded);
@@ -223,57 +232,6 @@
   void releaseHere(const PoolName &Home, const JobId &Id, const Claimant &By);
   void answerRegister(const Json::Value &Params, const Reply &Answer);
 
-  // What new registrars must know (reportcollection.cpp).
-  /// When a question may be put again.
-  struct ReportPace {
-    Time NotBefore;
-    Duration Pause{0};
-
-    bool isDue(Time Now) const;
-    void noteAsked(Time Now);
-    void noteAnswered(Time Now);
-  };
-  /// A registrar's search for the reports to its home.
-  struct ReportSearch {
-    /// The token of the registrar.
-    FencingToken Of;
-    /// Collectors that have not answered.
-    std::size_t Failures = 0;
-    ReportPace Pace;
-  };
-  /// What a collector has for the registrar of one home.
-  struct ReportCollection {
-    /// The token of the registrar.
-    FencingToken Of;
-    Time AskedFor;
-    /// By pool, as its owner has written them. One without jobs says that the
-    /// owner does not know yet.
-    std::map<PoolName, Json::Value> Reports;
-  };
-  /// Finds what registers of this entry lack, and what others have asked for.
-  void collectReports();
-  /// Whom a registrar here asks after \p Failures others.
-  Endpoint collectorAfter(std::size_t Failures) const;
-  void askCollector(const PoolName &Home, JobRegister &Of);
-  std::set<PoolName> reportedTo(const JobRegister &Of) const;
-  void answerReports(const Json::Value &Params, const Reply &Answer);
-  /// The reports that are there for a registrar; the others are asked for.
-  Json::Value reportsFor(const PoolName &Home, FencingToken Token,
-                         const std::set<PoolName> &Known);
-  static bool lacksReport(const ReportCollection &Of, const PoolMember &About);
-  void askOwnersForReports();
-  void keepReports(const PoolName &Pool, const Json::Value &Homes);
-  void takeReports(const PoolName &Home, FencingToken Token,
-                   const Json::Value &Reports);
-  void takeReport(const PoolName &Home, JobRegister &Of, const PoolName &Pool,
-                  const Json::Value &Report);
-  std::vector<JobId> jobsAtHome(const PoolName &Home,
-                                const Scheduler &Of) const;
-  /// The reports of the owner of \p In to \p Homes, which have the tokens of
-  /// their registrars. By them it promises to heed no lower ones.
-  Json::Value reportsOn(const PoolMember &In, const Json::Value &Homes);
-  void answerReport(const Json::Value &Params, const Reply &Answer);
-
   // Transient jobs of this entry's callers (entryjobs.cpp).
   void dispatch(const AskPtr &What);
   PoolMember *poolFor(const AskPtr &What);
@@ -391,12 +349,16 @@
   std::map<Endpoint, std::uint64_t> LatestPings_;
   /// Of the homes that this entry owns.
   std::map<PoolName, JobRegister> Registers_;
-  /// Of the homes that this entry owns and whose registers are not complete.
-  std::map<PoolName, ReportSearch> ReportSearches_;
-  /// What this entry collects for registrars, by home.
-  std::map<PoolName, ReportCollection> Collections_;
-  /// Its questions to the owners of pools.
-  std::map<PoolName, ReportPace> OwnersAsked_;
+  /// A registrar's question to the owner of a pool.
+  struct ReportQuestion {
+    /// The token of the registrar.
+    FencingToken Of;
+    Time NotBefore;
+    /// Until it is asked again.
+    Duration Pause{0};
+  };
+  /// By home and pool.
+  std::map<std::pair<PoolName, PoolName>, ReportQuestion> ReportsAsked_;
   /// The highest token of a registrar of each home that this entry has answered
   /// or been answered by; it heeds no lower one.
   std::map<PoolName, FencingToken> Heeded_;
--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -38,8 +38,8 @@
 //                 stopping, young?, suspects?}
 //     -> {pools: {POOL: CLAIM}, stamp_us, stopping, age_us? (of a young
 //         process), suspects?: {JOB: {age_us, tasks that may crash workers}}}
-//     where CLAIM is owner, token, highest, first? (the first token that was
-//     heard of), workers? and load? (of an owner),
+//     where CLAIM is owner, token, highest, first? (the first token that it
+//     made or was told by its maker), workers? and load? (of an owner),
 //     settled?, lets_go?, rival?, rival_token?
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
 //                 echo_us, maybe_taken?, home?, registrar?}
@@ -49,14 +49,10 @@
 //     -> {token, answers?: [{pool, had_by_other?}]}
 //     from the owner of a pool to a registrar, which says with its token where
 //     each job goes; CLAIMANT is job, pool, token, question
-//   pool.reports {home, token, known?: [POOL]} -> {reports: {POOL: REPORT}}
-//     from a registrar to the collector of its data centre: those that are
-//     there
-//   pool.report {pool, homes: {HOME: token}} -> {homes: {HOME: REPORT}}
-//     from the collector to the owner of a pool. REPORT is asked_by, heeded,
-//     token?, question?, jobs?; by it the owner promises to heed no registrar
-//     of the home below asked_by; without jobs: it does not know yet what runs
-//     there, or heeds a later registrar
+//   pool.report {home, token, pool} -> {heeded, token?, question?, jobs?}
+//     from a registrar to the owner of a pool, which promises by its answer to
+//     heed no registrar of the home with a lower token; without jobs: it does
+//     not know yet what runs there, or heeds a later registrar
 //   workers.announce {workers} and workers.leave {worker} -> {}
 //     passed on to the leader, and acknowledged once the leader has it
 //   workers.heard {workers} -> {unknown?: workers that it does not have}
@@ -100,7 +96,6 @@
 constexpr const char *Run = "pool.run";
 constexpr const char *Drop = "pool.drop";
 constexpr const char *Register = "pool.register";
-constexpr const char *Reports = "pool.reports";
 constexpr const char *Report = "pool.report";
 constexpr const char *Announce = "workers.announce";
 constexpr const char *Leave = "workers.leave";
--- a/src/jobs/internal/poolmember.cpp
+++ b/src/jobs/internal/poolmember.cpp
@@ -59,8 +59,8 @@
 
 PoolMember::PoolMember(PoolMemberNeeds Needs, PoolName Name,
                        DataCentreId DataCentre, const Endpoint &Self)
-    : Needs_(Needs), Name_(std::move(Name)), DataCentre_(std::move(DataCentre)),
-      View_(Self, Needs.Peers) {}
+    : Needs_(std::move(Needs)), Name_(std::move(Name)),
+      DataCentre_(std::move(DataCentre)), View_(Self, Needs_.Peers) {}
 
 void PoolMember::takeCandidates(const std::vector<Endpoint> &Ranked,
                                 bool Candidate) {
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -1,7 +1,8 @@
 //===- registrar.cpp - The registers of the homes that this entry owns ----===//
 //
-// Answers to the owners of pools that ask before they start a job. What a new
-// registrar must know before is in reportcollection.cpp.
+// Answers to the owners of pools that ask before they start a job, and the
+// reports of those owners from which a new registrar learns what its
+// predecessors have agreed to.
 //
 //===----------------------------------------------------------------------===//
 
@@ -17,6 +18,13 @@
 namespace {
 
 constexpr const char *Module = "jobs";
+/// An owner is asked again for its report after this time.
+constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+/// The same after its answer, at first and at most: after a loss of all each
+/// new registrar asks the owners of all pools.
+constexpr Duration FirstReportPause = std::chrono::milliseconds(50);
+constexpr Duration LongestReportPause = std::chrono::milliseconds(400);
+
 } // namespace
 
 JobRegister *EntryJobs::registerOf(const PoolName &Home) {
@@ -36,6 +44,20 @@
   return &Registers_.try_emplace(Home, Token, Needs_.Clock.now()).first->second;
 }
 
+void EntryJobs::collectReports() {
+  for (const auto &[Home, In] : Pools_) {
+    JobRegister *Of = registerOf(Home);
+    if (!Of || Of->isComplete())
+      continue;
+    // Others are likely to be ready when this owner is.
+    if (In->scheduler()->hasTakenOver())
+      for (const auto &[Pool, Member] : Pools_)
+        if (!Of->hasReported(Pool))
+          askForReport(Home, *Of, *Member);
+    completeIfKnown(Home, *Of);
+  }
+}
+
 void EntryJobs::completeIfKnown(const PoolName &Home, JobRegister &Of) {
   std::vector<PoolName> Near;
   std::vector<PoolName> Far;
@@ -57,6 +79,100 @@
             {"took_us", (Now - Of.since()).count()}});
 }
 
+void EntryJobs::askForReport(const PoolName &Home, JobRegister &Of,
+                             PoolMember &About) {
+  if (About.scheduler()) {
+    FencingToken &Heeded = Heeded_[Home];
+    if (!About.scheduler()->hasTakenOver() || Heeded > Of.token())
+      return;
+    Heeded = Of.token();
+    Of.takeReport({About.name(), About.scheduler()->token(), LastQuestion_},
+                  jobsAtHome(Home, *About.scheduler()), Needs_.Clock.now());
+    return;
+  }
+  const OwnerClaim &Owner = About.view().Owner;
+  std::pair<PoolName, PoolName> Question{Home, About.name()};
+  if (Owner.Token == FencingToken(0) || Owner.At == Self_)
+    return;
+  Time Now = Needs_.Clock.now();
+  ReportQuestion &Asked = ReportsAsked_[Question];
+  if (Asked.Of != Of.token())
+    Asked = {Of.token(), Time(), FirstReportPause};
+  if (Now < Asked.NotBefore)
+    return;
+  Asked.NotBefore = Now + ReportTimeout;
+  Json::Value Params(Json::objectValue);
+  Params["home"] = Home.value();
+  Params["token"] = Json::UInt64(Of.token().value());
+  Params["pool"] = About.name().value();
+  Needs_.Client.call(
+      Owner.At, wire::method::Report, std::move(Params), ReportTimeout,
+      [this, Question, Token = Of.token()](const Outcome<Json::Value> &Result) {
+        ReportQuestion &Asked = ReportsAsked_[Question];
+        Asked.NotBefore = Needs_.Clock.now() + Asked.Pause;
+        Asked.Pause = std::min(Asked.Pause * 2, LongestReportPause);
+        takeReport(Question.first, Token, Question.second, Result);
+      });
+}
+
+void EntryJobs::takeReport(const PoolName &Home, FencingToken Token,
+                           const PoolName &Pool,
+                           const Outcome<Json::Value> &Result) {
+  JobRegister *Of = registerOf(Home);
+  if (!Result || !Of || Of->token() != Token)
+    return;
+  Time Now = Needs_.Clock.now();
+  noteHeeded(Home, FencingToken(wire::numberOf(*Result, "heeded")));
+  if (!(*Result)["jobs"].isArray())
+    return Of->noteNotYet(Now);
+  // Another owner of that pool may have jobs that this one has not.
+  FencingToken PoolToken(wire::numberOf(*Result, "token"));
+  const PoolMember *About = findPool(Pool);
+  if (!About || PoolToken < About->view().Owner.Token)
+    return;
+  std::vector<JobId> Jobs;
+  for (const Json::Value &Each : (*Result)["jobs"])
+    if (Each.isString())
+      Jobs.emplace_back(Each.asString());
+  Of->takeReport({Pool, PoolToken, wire::numberOf(*Result, "question")}, Jobs,
+                 Now);
+  completeIfKnown(Home, *Of);
+}
+
+std::vector<JobId> EntryJobs::jobsAtHome(const PoolName &Home,
+                                         const Scheduler &Of) const {
+  const PoolMember *Named = findPool(Home);
+  if (!Named)
+    return {};
+  std::vector<JobId> Jobs = Of.jobs();
+  std::erase_if(Jobs, [&](const JobId &Id) {
+    return homeOf(Id, homesIn(Named->dataCentre())) != Home;
+  });
+  return Jobs;
+}
+
+void EntryJobs::answerReport(const Json::Value &Params, const Reply &Answer) {
+  auto Home = attempt([&] { return json::readString(Params, "home"); });
+  if (!Home)
+    return Answer(Home.error());
+  PoolMember *In = poolOfMessage(Params);
+  FencingToken Token(wire::numberOf(Params, "token"));
+  FencingToken &Heeded = Heeded_[PoolName(*Home)];
+  bool Knows = In && In->scheduler() && ownsPool(In->view()) &&
+               In->scheduler()->hasTakenOver();
+  Json::Value Result(Json::objectValue);
+  Result["heeded"] = Json::UInt64(Heeded.value());
+  if (!Knows || Token < Heeded)
+    return Answer(std::move(Result));
+  Heeded = Token;
+  Result["token"] = Json::UInt64(In->scheduler()->token().value());
+  Result["question"] = Json::UInt64(LastQuestion_);
+  Result["jobs"] = Json::Value(Json::arrayValue);
+  for (const JobId &Id : jobsAtHome(PoolName(*Home), *In->scheduler()))
+    Result["jobs"].append(Id.value());
+  Answer(std::move(Result));
+}
+
 void EntryJobs::noteHeeded(const PoolName &Home, FencingToken Heeded) {
   PoolMember *In = findPool(Home);
   if (In && In->scheduler() && Heeded > In->scheduler()->token())
--- a/src/jobs/tests/poolstest.cpp
+++ b/src/jobs/tests/poolstest.cpp
@@ -314,8 +314,9 @@
   }
   ASSERT_FALSE(Home.empty());
   Json::Value Report(Json::objectValue);
+  Report["home"] = Home;
   Report["pool"] = Home;
-  Report["homes"][Home] = Json::UInt64(std::uint64_t{1} << 62U);
+  Report["token"] = Json::UInt64(std::uint64_t{1} << 62U);
   ASSERT_TRUE(Call(wire::method::Report, Report));
   Json::Value Question(Json::objectValue);
   Question["home"] = Home;
