--- a/src/jobs/internal/jobmessages.h
+++ b/src/jobs/internal/jobmessages.h
@@ -38,9 +38,9 @@
 //                 stopping, young?, suspects?}
 //     -> {pools: {POOL: CLAIM}, stamp_us, stopping, age_us? (of a young
 //         process), suspects?: {JOB: {age_us, tasks that may crash workers}}}
-//     where CLAIM is owner, token, highest, first? (the first token that it
-//     made or was told by its maker), workers? and load? (of an owner),
-//     settled?, lets_go?, rival?, rival_token?
+//     where CLAIM is owner, token, highest, first? (the first token that was
+//     heard of), workers? and load? (of an owner), settled?, lets_go?, rival?,
+//     rival_token?
 //   pool.run     {pool, job, age_us, left_us, origin, incarnation, serial,
 //                 echo_us, maybe_taken?, home?, registrar?}
 //     -> answer, CLAIM with not_owner, or {registered: the job's other pool}
--- a/src/jobs/tests/lossofalltest.cpp
+++ b/src/jobs/tests/lossofalltest.cpp
@@ -50,6 +50,47 @@
             QuestionsEach * Fake.Entries.size());
 }
 
+/// Questions between owners and registrars in the seconds after all have
+/// started again, while callers send a job to each entry every 100 ms. There
+/// are twice \p PoolsEach pools.
+double questionsAfterLoss(int PoolsEach) {
+  EntryFake Fake(PoolsEach, PoolsEach, 1, PoolsEach);
+  Fake.Workers.TaskTime = 60ms;
+  Fake.settleByRack();
+  restartAll(Fake);
+  std::vector<std::shared_ptr<Submitted>> Jobs;
+  constexpr int Steps = 20;
+  for (int Step = 0; Step < Steps; ++Step) {
+    for (std::size_t I = 0; I < Fake.Entries.size(); ++I)
+      Jobs.push_back(Fake.submit(
+          I, "job" + std::to_string(Step) + "." + std::to_string(I), 1));
+    Fake.run(100ms);
+  }
+  double Questions = 0;
+  for (const char *Method : {wire::method::Report, wire::method::Register}) {
+    Questions += static_cast<double>(Fake.Net.Sent[Method]);
+  }
+  Fake.run(2s);
+  // All but those of the first moments, in which nobody owns a pool.
+  EXPECT_GE(std::count_if(Jobs.begin(), Jobs.end(), served),
+            static_cast<std::ptrdiff_t>(Jobs.size() * 9 / 10));
+  EXPECT_TRUE(Fake.Workers.Doubled.empty());
+  return Questions;
+}
+
+// Guards against registrars of many homes that each ask the owners of all
+// pools: a further pool costs no more questions where there are many.
+TEST(LossOfAllTest, QuestionsToRegistrarsGrowNoFasterThanThePools) {
+  constexpr int Few = 2;
+  constexpr int Some = 13;
+  constexpr int Many = 38;
+  double OfFew = questionsAfterLoss(Few);
+  double OfSome = questionsAfterLoss(Some);
+  double OfMany = questionsAfterLoss(Many);
+  EXPECT_LE((OfMany - OfSome) / (Many - Some),
+            (OfSome - OfFew) / (Some - Few) * 1.1);
+}
+
 /// Pings of an entry in the first moments after all have started again.
 double pingsEach(int EntriesEach) {
   EntryFake Fake(EntriesEach, 60);
