Write what is told of crashing tasks once a round, not for each ping

Owners also took over what other owners told, so that all told all.

The tests of crashing tasks pass unchanged.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -19,6 +19,8 @@
 #include "jobs/internal/poolmember.h"
 #include "jobs/routing.h"
 
+#include <array>
+
 namespace geraniumbay::jobs {
 
 /// What the service works with; all of it outlives the service.
@@ -121,7 +123,9 @@
   /// Tasks that may crash their workers. All entries that ping hear of those
   /// that this owner has seen and send them along with the job, so that the
   /// pool's next owner knows of them; one that has just started hears of all.
-  SuspectsByJob suspectsToTell(bool AskerIsYoung) const;
+  /// Written anew every PingInterval at most, or if \p Fresh: dozens of entries
+  /// ping an owner that may know of hundreds of them.
+  const Json::Value &suspectsToTell(bool AskerIsYoung, bool Fresh);
   /// Tells those that may own the pool next at once.
   void tellSuspects(const PoolMember &Of);
   void takeSuspects(const Json::Value &From);
@@ -384,6 +388,12 @@
   std::uint64_t LastQuestion_ = 0;
   /// Tasks that may crash their workers, as owners have told.
   SuspectsByJob Suspects_;
+  /// What was written last of them, for usual and for young askers.
+  struct WrittenSuspects {
+    std::optional<Time> At;
+    Json::Value Written;
+  };
+  std::array<WrittenSuspects, 2> SuspectsTold_;
   /// Jobs of this entry's callers that have not been answered.
   std::set<AskPtr> Asks_;
   std::uint64_t LastSerial_ = 0;
--- a/src/jobs/internal/poolowner.cpp
+++ b/src/jobs/internal/poolowner.cpp
@@ -208,7 +208,7 @@
   if (youngAge())
     Params["young"] = true;
   if (TellsSuspects)
-    Params["suspects"] = wire::write(suspectsToTell(false), Needs_.Clock.now());
+    Params["suspects"] = suspectsToTell(false, false);
   Needs_.Client.call(
       To, wire::method::Ping, std::move(Params), PingTimeout,
       [this, To, Sent = Needs_.Clock.now()](
@@ -243,17 +243,23 @@
     redispatchParked();
 }
 
-SuspectsByJob EntryJobs::suspectsToTell(bool AskerIsYoung) const {
-  SuspectsByJob Result;
+const Json::Value &EntryJobs::suspectsToTell(bool AskerIsYoung, bool Fresh) {
+  WrittenSuspects &Told = SuspectsTold_[AskerIsYoung];
+  Time Now = Needs_.Clock.now();
+  if (!Fresh && Told.At && Now - *Told.At < PingInterval)
+    return Told.Written;
+  SuspectsByJob Known;
   if (AskerIsYoung)
-    Result = Suspects_;
+    Known = Suspects_;
   for (const auto &[Name, In] : Pools_)
     if (const Scheduler *Of = In->scheduler())
-      merge(Result, Of->suspects());
-  return Result;
+      merge(Known, Of->suspects());
+  Told = {Now, wire::write(Known, Now)};
+  return Told.Written;
 }
 
 void EntryJobs::tellSuspects(const PoolMember &Of) {
+  suspectsToTell(false, true);
   for (const Endpoint &Next : frontRanks(Of.view(), Needs_.Clock.now()))
     ping(Next, {Of.name()}, true);
 }
@@ -265,6 +271,9 @@
     return;
   forgetOld(Suspects_, Now);
   merge(Suspects_, Told);
+  // One that has just started may have claimed a pool before it was told.
+  if (!youngAge())
+    return;
   for (const auto &[Name, In] : Pools_)
     if (In->scheduler())
       In->scheduler()->takeSuspects(Told);
@@ -352,9 +361,10 @@
   Result["stopping"] = Stopping_;
   if (auto Age = youngAge())
     Result["age_us"] = Json::UInt64(Age->count());
-  SuspectsByJob Suspects = suspectsToTell(wire::isSet(Params, "young"));
+  const Json::Value &Suspects =
+      suspectsToTell(wire::isSet(Params, "young"), false);
   if (!Suspects.empty())
-    Result["suspects"] = wire::write(Suspects, Needs_.Clock.now());
+    Result["suspects"] = Suspects;
   Answer(std::move(Result));
 }
 
