Log which ends of stored tasks got into the log

The logs could not tell whether the end was recorded and ignored by the next leader, or never recorded. `end_recorded` and `end_not_recorded` say so for each task.

--- a/src/jobs/internal/endrecords.cpp
+++ b/src/jobs/internal/endrecords.cpp
@@ -16,6 +16,21 @@
 
 constexpr const char *Module = "jobs";
 
+/// Logs what became of a batch with \p Ends of tasks at \p Worker.
+void logRecording(const WorkerId &Worker, const std::vector<TaskEnd> &Ends,
+                  const Outcome<Done> &Result) {
+  for (const TaskEnd &End : Ends)
+    logEvent(Result ? LogLevel::Info : LogLevel::Warning, Module,
+             Result ? "end_recorded" : "end_not_recorded",
+             {{"job", End.Task.Job},
+              {"step", End.Task.Step},
+              {"index", End.Task.Index},
+              {"run", End.Run.value()},
+              {"worker", Worker},
+              {"succeeded", End.Succeeded},
+              {"reason", Result ? "" : Result.error().Message.c_str()}});
+}
+
 } // namespace
 
 void Scheduler::recordEnds(WorkerSession &Session,
@@ -70,6 +85,7 @@
   Batches_->add(std::move(Changes), [this, Alive = Alive_, From, Upto,
                                      Ends = std::move(Copy)](
                                         const Outcome<Done> &Result) {
+    logRecording(From.Worker, Ends.Ended, Result);
     // A failed append means that the leadership was lost; the
     // next leader gets the ends from the worker.
     if (!*Alive || !Result)
