Acknowledge ends of stored tasks only once they are in the log

Cause: the scheduler kept the highest end of a worker that was in the log or needed no record. An answer with ends of best-effort tasks or stopped runs alone raised it past ends whose batch was still on its way, and the next hold acknowledged them all. The worker forgot them, and the next leader, whose log had none of them, started the tasks again.

Change: a session keeps its batches that are not known to be in the log, with the lowest end of each. What may be acknowledged follows from them: the ends before the lowest one. So no answer and no commit can move it past a batch that is under way, whatever their order. A batch belongs to the session that made it; before, the commit of one could count as the record of further ends that the worker had listed to a later session.

The fake log can be stalled, and the fake workers note starts after an acknowledged end.

--- a/src/jobs/internal/endrecords.cpp
+++ b/src/jobs/internal/endrecords.cpp
@@ -37,6 +37,7 @@
                            const HoldFindings &Findings) {
   JobChanges Durable;
   JobChanges TransientEnds;
+  std::optional<std::uint64_t> LowestDurable;
   for (const EndedTask &End : Findings.Ended) {
     const TaskRecord *Record = taskOf(End.Task);
     if (End.Kind != EndKind::Done && Record)
@@ -64,47 +65,49 @@
                {{"worker", Session.Info.Worker},
                 {"consecutive_failures", Session.ConsecutiveFailures},
                 {"runs", Session.Runs.size()}});
-    JobChanges &Into = isTransient(End.Task.Job) ? TransientEnds : Durable;
-    Into.Ended.push_back({End.Task, End.Run, End.Kind == EndKind::Done});
+    bool Transient = isTransient(End.Task.Job);
+    if (!Transient)
+      LowestDurable = std::min(LowestDurable.value_or(End.Number), End.Number);
+    JobChanges &Into = Transient ? TransientEnds : Durable;
+    Into.Ended.push_back({End.Task, End.Run, Succeeded});
   }
-  std::uint64_t Upto = Session.LastBatchedEnd;
-  if (Durable.empty())
-    Session.LastRecordedEnd = Upto;
-  else
-    recordDurably({Session.Info.Worker, Session.Info.StartedAt}, Upto,
-                  std::move(Durable));
+  if (LowestDurable)
+    recordDurably(Session, *LowestDurable, std::move(Durable));
   apply(Transient_, TransientEnds);
   onCommitted(TransientEnds);
 }
 
-void Scheduler::recordDurably(const WorkerIncarnation &From, std::uint64_t Upto,
+void Scheduler::recordDurably(WorkerSession &Session, std::uint64_t LowestEnd,
                               JobChanges Changes) {
+  EndBatchId Batch(++LastEndBatch_);
+  Session.UnrecordedBatches.emplace(Batch, LowestEnd);
   JobChanges Copy = Changes;
   for (const TaskEnd &End : Changes.Ended)
     Ending_.insert(End.Task);
-  Batches_->add(std::move(Changes), [this, Alive = Alive_, From, Upto,
-                                     Ends = std::move(Copy)](
-                                        const Outcome<Done> &Result) {
-    logRecording(From.Worker, Ends.Ended, Result);
-    // A failed append means that the leadership was lost; the
-    // next leader gets the ends from the worker.
-    if (!*Alive || !Result)
-      return;
-    for (const TaskEnd &End : Ends.Ended)
-      Ending_.erase(End.Task);
-    onCommitted(Ends);
-    for (const TaskEnd &End : Ends.Ended)
-      runRecordingCallbacks(End.Task.Job);
-    if (!*Alive)
-      return;
-    WorkerSession *Session = session(From.Worker);
-    // A later incarnation numbers its ends anew.
-    if (!Session || isLaterIncarnation(Session->Info.StartedAt, From.StartedAt))
-      return;
-    Session->LastRecordedEnd = std::max(Session->LastRecordedEnd, Upto);
-    if (Session->LastRecordedEnd == Session->LastBatchedEnd)
-      sendHold(*Session);
-  });
+  Batches_->add(std::move(Changes),
+                [this, Alive = Alive_, Batch, Worker = Session.Info.Worker,
+                 Ends = std::move(Copy)](const Outcome<Done> &Result) {
+                  logRecording(Worker, Ends.Ended, Result);
+                  // A failed append means that the leadership was lost; the
+                  // next leader gets the ends from the worker.
+                  if (!*Alive || !Result)
+                    return;
+                  for (const TaskEnd &End : Ends.Ended)
+                    Ending_.erase(End.Task);
+                  onCommitted(Ends);
+                  for (const TaskEnd &End : Ends.Ended)
+                    runRecordingCallbacks(End.Task.Job);
+                  if (!*Alive)
+                    return;
+                  WorkerSession *Current = session(Worker);
+                  // A session that began after the batch does not contain it:
+                  // its worker may have numbered its ends anew, or listed more
+                  // of them.
+                  if (!Current || Current->UnrecordedBatches.erase(Batch) == 0)
+                    return;
+                  if (!isRecordingEnds(*Current))
+                    sendHold(*Current);
+                });
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -350,7 +350,8 @@
                       bool NewlyReachable);
   void adoptRun(WorkerSession &Session, const RunningTask &Task);
   void recordEnds(WorkerSession &Session, const HoldFindings &Findings);
-  void recordDurably(const WorkerIncarnation &From, std::uint64_t Upto,
+  /// Writes ends of the worker to the log; \p LowestEnd is the first of them.
+  void recordDurably(WorkerSession &Session, std::uint64_t LowestEnd,
                      JobChanges Changes);
   void stopRunsOf(const JobId &Id);
   void dropWorker(const WorkerId &Worker, const char *Reason,
@@ -385,6 +386,7 @@
   /// The sequence numbers of the active jobs.
   std::unordered_map<JobId, std::uint64_t> JobOrders_;
   std::uint64_t LastJobOrder_ = 0;
+  std::uint64_t LastEndBatch_ = 0;
   /// Whether each task of the job is done or its end is being recorded.
   bool isBeingCompleted(const JobId &Id) const;
   void runRecordingCallbacks(const JobId &Id);
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -35,7 +35,7 @@
 void applyEnds(WorkerSession &Session, const HoldAnswer &Answer,
                HoldFindings &Out, Time Now) {
   for (const EndedTask &End : Answer.Ended) {
-    if (End.Number <= Session.LastBatchedEnd)
+    if (End.Number <= Session.LastProcessedEnd)
       continue;
     Out.Ended.push_back(End);
     auto Found = Session.Runs.find(End.Task);
@@ -47,7 +47,7 @@
     removeRun(Session, End.Task);
   }
   for (const EndedTask &End : Out.Ended)
-    Session.LastBatchedEnd = std::max(Session.LastBatchedEnd, End.Number);
+    Session.LastProcessedEnd = std::max(Session.LastProcessedEnd, End.Number);
 }
 
 void applyRunning(WorkerSession &Session, const HoldAnswer &Answer,
@@ -100,6 +100,16 @@
   return "unknown";
 }
 
+bool isRecordingEnds(const WorkerSession &Session) {
+  return !Session.UnrecordedBatches.empty();
+}
+
+std::uint64_t lastRecordedEnd(const WorkerSession &Session) {
+  if (!isRecordingEnds(Session))
+    return Session.LastProcessedEnd;
+  return Session.UnrecordedBatches.begin()->second - 1;
+}
+
 AnsweredBy answeredBy(const WorkerSession &Session, const HoldAnswer &Answer) {
   WorkerStart Known = Session.Info.StartedAt;
   if (Answer.StartedAt == WorkerStart() || Known == WorkerStart() ||
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -20,6 +20,7 @@
 #include "scheduling/suspicion.h"
 #include "scheduling/workerpace.h"
 
+#include <map>
 #include <unordered_map>
 
 namespace geraniumbay::jobs {
@@ -49,6 +50,9 @@
   bool Revoking = false;
 };
 
+/// Identifies a batch of ends of one worker; counted by the scheduler.
+using EndBatchId = StrongId<struct EndBatchTag, std::uint64_t>;
+
 struct WorkerSession {
   WorkerInfo Info;
   /// By task. Invariant: Used is the sum of their resources.
@@ -127,12 +131,23 @@
   std::optional<Time> RenewedAt;
   /// Send time of the latest hold or query that was answered.
   Time LastAnsweredSentAt;
-  /// The highest end that is recorded in the log or needs no record.
-  std::uint64_t LastRecordedEnd = 0;
-  /// The highest end that was added to a batch for the log.
-  std::uint64_t LastBatchedEnd = 0;
+  /// The highest end that was processed: it needs no record, or it was added to
+  /// a batch for the log.
+  std::uint64_t LastProcessedEnd = 0;
+  /// The batches with ends of this worker that are not known to be in the log,
+  /// each with the lowest of these ends. Invariant: the ends of a later batch
+  /// are above those of an earlier one, and at most LastProcessedEnd.
+  std::map<EndBatchId, std::uint64_t> UnrecordedBatches;
 };
 
+/// Whether ends of the worker are being written to the log.
+bool isRecordingEnds(const WorkerSession &Session);
+
+/// The highest end that may be acknowledged to the worker: it and all ends
+/// before it are in the log or need no record. Of any other end a later owner
+/// learns from the worker alone.
+std::uint64_t lastRecordedEnd(const WorkerSession &Session);
+
 /// The relation of the process that sent an answer to the session's.
 enum class AnsweredBy { SameIncarnation, EarlierIncarnation, LaterIncarnation };
 
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -39,7 +39,7 @@
 std::uint64_t lastSeenEnd(const WorkerSession &Session, bool Certain) {
   bool MayHaveRestarted =
       Session.Info.StartedAt != WorkerStart() && (!Certain || Session.Silent);
-  return MayHaveRestarted ? 0 : Session.LastRecordedEnd;
+  return MayHaveRestarted ? 0 : lastRecordedEnd(Session);
 }
 
 /// Classifies the loss of a worker whose hold failed with \p Failure.
@@ -305,8 +305,7 @@
     return scheduleSoon();
   // A hold without a lease is answered at once, so the next one is left to the
   // tick.
-  if (Session->LastBatchedEnd == Session->LastRecordedEnd &&
-      !Session->HasForeignRuns)
+  if (!isRecordingEnds(*Session) && !Session->HasForeignRuns)
     sendHold(*Session);
   else if (!Session->HasForeignRuns)
     sendHoldLater(Worker);
@@ -466,10 +465,9 @@
     // Stops that were lost are repeated.
     if (Session.RevokeAgainAt && Now >= *Session.RevokeAgainAt)
       revokeEarlierRuns(Session);
-    bool Recording = Session.LastBatchedEnd != Session.LastRecordedEnd;
     bool NeedsResend = isHoldOverdue(Session, Lease_, Now) ||
                        isHoldTooLong(Session, Lease_, Now);
-    if (NeedsResend || (!Recording && Now >= Session.RetryAt))
+    if (NeedsResend || (!isRecordingEnds(Session) && Now >= Session.RetryAt))
       sendHold(Session);
   }
 }
--- a/src/jobs/tests/controlfake.cpp
+++ b/src/jobs/tests/controlfake.cpp
@@ -6,17 +6,46 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+Error lostLeadership() { return {ErrorCode::Timeout, "leadership was lost"}; }
+
+} // namespace
+
 void FakeLog::append(std::string Batch,
                      std::function<void(Outcome<geraniumbay::Done>)> Done) {
   // The time of two disk syncs and a round trip.
   constexpr Duration Commit = 12ms;
   Timers_.after(Commit,
-                [this, Batch = std::move(Batch), Done = std::move(Done)] {
-                  Jobs.apply(Batch);
-                  Done(geraniumbay::Done{});
+                [this, Round = Round_,
+                 Next = StalledBatch{std::move(Batch), std::move(Done)}] {
+                  if (Round != Round_)
+                    Next.Finish(lostLeadership());
+                  else if (Stalled_)
+                    StalledBatches_.push_back(Next);
+                  else
+                    commit(Next);
                 });
 }
 
+void FakeLog::commit(const StalledBatch &Next) {
+  Jobs.apply(Next.Batch);
+  Next.Finish(geraniumbay::Done{});
+}
+
+void FakeLog::resume() {
+  Stalled_ = false;
+  for (const StalledBatch &Next : std::exchange(StalledBatches_, {}))
+    commit(Next);
+}
+
+void FakeLog::dropUncommitted() {
+  Stalled_ = false;
+  ++Round_;
+  for (const StalledBatch &Next : std::exchange(StalledBatches_, {}))
+    Next.Finish(lostLeadership());
+}
+
 ControlFake::ControlFake(EntryFake &Fake, const std::string &Document)
     : Fake_(Fake), At_(Fake.controlAddress()), Rpc_(Fake.Net, At_),
       Workers_(Fake.Workers, At_.Address), Log(Fake.Timers, At_),
--- a/src/jobs/tests/controlfake.h
+++ b/src/jobs/tests/controlfake.h
@@ -50,6 +50,14 @@
     // There is no other member to take over.
   }
   void giveUpVote(std::function<void()> Done) override { Done(); }
+  /// From now on batches are not committed, as at a leader that is cut off from
+  /// the other members.
+  void stall() { Stalled_ = true; }
+  /// Commits the batches that were held back, and later ones as they come.
+  void resume();
+  /// Another member leads from now on, which has none of the batches that are
+  /// not committed yet.
+  void dropUncommitted();
 
   control::ConfigSnapshot Config;
   ReplicatedJobs Jobs;
@@ -58,7 +66,17 @@
   control::LeaderTerm LeadsIn{1};
 
 private:
+  struct StalledBatch {
+    std::string Batch;
+    std::function<void(Outcome<Done>)> Finish;
+  };
+  void commit(const StalledBatch &Next);
+
   std::function<void()> Changed_;
+  bool Stalled_ = false;
+  std::vector<StalledBatch> StalledBatches_;
+  /// Counts the changes of the leader; earlier batches are not committed.
+  std::uint64_t Round_ = 0;
   ITimers &Timers_;
   const Endpoint Self_;
 };
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -61,6 +61,13 @@
   return Count;
 }
 
+std::size_t FakeWorkers::unacknowledgedEnds() const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Each] : Workers_)
+    Count += Each.Ends.size();
+  return Count;
+}
+
 bool FakeWorkers::runsElsewhere(const Worker &Here, const TaskId &Task) {
   for (auto &[Id, Each] : Workers_) {
     checkLease(Each);
@@ -78,6 +85,7 @@
     Lapsed.push_back(Task);
   for (const TaskId &Task : Lapsed)
     end(Target, Task, EndKind::Other);
+  Target.LastEndBeforeExpiry = Target.LastEnd;
 }
 
 void FakeWorkers::extend(Worker &Target, WorkerMillis Until) {
@@ -154,6 +162,10 @@
   extend(Target, Order.LeaseUntil);
   if (Found != Target.Tasks.end() || runsElsewhere(Target, Order.Task))
     Doubled.insert(Order.Task);
+  if (Acknowledged.count(Order.Task) != 0)
+    RepeatedAfterEnd.insert(Order.Task);
+  RunNumber &Highest = HighestRuns_[Order.Task];
+  Highest = std::max(Highest, Order.Run);
   ++Starts;
   ++StartsIn[Target.Info.DataCentre];
   LastStartIn[Target.Info.DataCentre] = Clock_.now();
@@ -200,7 +212,14 @@
   if (Order.LeaseUntil)
     extend(Target, *Order.LeaseUntil);
   std::erase_if(Target.Ends, [&](const EndedTask &End) {
-    return End.Number <= Order.LastSeenEnd;
+    if (End.Number > Order.LastSeenEnd)
+      return false;
+    if (End.Kind != EndKind::Done || End.Number <= Target.LastEndBeforeExpiry)
+      return true;
+    Acknowledged.insert(End.Task);
+    if (HighestRuns_[End.Task] > End.Run)
+      RepeatedAfterEnd.insert(End.Task);
+    return true;
   });
   HoldAnswer Answer;
   Answer.Clock = clockNow(Target);
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -60,6 +60,12 @@
   // Observations.
   /// Tasks of which two runs existed at the same time.
   std::set<TaskId> Doubled;
+  /// Tasks whose successful end was acknowledged to the worker, and those of
+  /// them that started again after that end, before or after the
+  /// acknowledgement. An end counts only if the lease had not expired between
+  /// it and its acknowledgement.
+  std::set<TaskId> Acknowledged;
+  std::set<TaskId> RepeatedAfterEnd;
   std::uint64_t Starts = 0;
   std::map<DataCentreId, std::uint64_t> StartsIn;
   std::map<DataCentreId, Time> LastStartIn;
@@ -71,6 +77,8 @@
   std::uint64_t Crashes = 0;
 
   std::size_t running() const;
+  /// How many ends were not acknowledged yet.
+  std::size_t unacknowledgedEnds() const;
 
   /// Ends the worker's process; it comes back after CrashDown.
   void crash(const WorkerId &Id) { crash(Workers_[Id]); }
@@ -91,6 +99,8 @@
     std::vector<EndedTask> Ends;
     std::uint64_t LastEnd = 0;
     Time Lease;
+    /// The lease has expired after all ends up to this one.
+    std::uint64_t LastEndBeforeExpiry = 0;
     /// Answers the pending hold early; empty if there is none.
     std::function<void()> Waiting;
     /// The test clock's reading when the process started, in milliseconds.
@@ -123,6 +133,7 @@
   ITimers &Timers_;
   WorkerFaults &Faults_;
   std::uint64_t LastSerial_ = 0;
+  std::map<TaskId, RunNumber> HighestRuns_;
   std::map<WorkerId, Worker> Workers_;
 };
 
