Keep a task waiting for its end while its loss is recorded

What callers could see: a stored task that has ended `done` starts once more. A worker is out of reach until its lease is over, so the loss of its task is written to the log; it comes back before that is committed and lists the end, which is written next. The commit of the loss let the task start again, although its end was still on its way.

Cause: Ending_ held a task once, whatever number of batches contained it, so the first commit removed the mark of the others.

Change: an entry for each batch. Each commit still queues the task if nothing else is on its way.

Test: EndRecords.ATaskWaitsForItsEndWhenItsLossIsInTheLogBefore: two starts before, one now.

--- a/src/jobs/internal/endrecords.cpp
+++ b/src/jobs/internal/endrecords.cpp
@@ -93,7 +93,7 @@
                   if (!*Alive || !Result)
                     return;
                   for (const TaskEnd &End : Ends.Ended)
-                    Ending_.erase(End.Task);
+                    Ending_.extract(End.Task);
                   onCommitted(Ends);
                   for (const TaskEnd &End : Ends.Ended)
                     runRecordingCallbacks(End.Task.Job);
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -394,8 +394,10 @@
   /// Called once the end of the job is recorded; see whenRecorded().
   std::unordered_multimap<JobId, std::function<void()>> RecordingCallbacks_;
   /// Tasks whose end or loss is being recorded in the log. They must not start
-  /// before that: the task may be done, or have failed for the last time.
-  std::unordered_set<TaskId> Ending_;
+  /// before that: the task may be done, or have failed for the last time. A
+  /// task has an entry for each batch that contains it, as its loss may be in
+  /// the log while its end is still on its way.
+  std::unordered_multiset<TaskId> Ending_;
   /// The worker on which each task that waits for a retry failed last.
   std::unordered_map<TaskId, WorkerId> FailedAt_;
   std::unordered_map<TaskId, RunNumber> LastRuns_;
--- a/src/jobs/internal/workerlosses.cpp
+++ b/src/jobs/internal/workerlosses.cpp
@@ -77,7 +77,7 @@
                   if (!*Alive || !Result)
                     return;
                   for (const TaskLoss &Each : Losses)
-                    Ending_.erase(Each.Task);
+                    Ending_.extract(Each.Task);
                   onLossesCounted(Losses);
                   for (const TaskLoss &Each : Losses)
                     runRecordingCallbacks(Each.Task.Job);
--- a/src/jobs/tests/controlfake.cpp
+++ b/src/jobs/tests/controlfake.cpp
@@ -33,6 +33,12 @@
   Next.Finish(geraniumbay::Done{});
 }
 
+void FakeLog::commitOldest() {
+  StalledBatch Oldest = std::move(StalledBatches_.front());
+  StalledBatches_.erase(StalledBatches_.begin());
+  commit(Oldest);
+}
+
 void FakeLog::resume() {
   Stalled_ = false;
   for (const StalledBatch &Next : std::exchange(StalledBatches_, {}))
--- a/src/jobs/tests/endrecordstest.cpp
+++ b/src/jobs/tests/endrecordstest.cpp
@@ -126,6 +126,27 @@
   expectOneRun();
 }
 
+// Guards against a task that starts again while its end is on its way into the
+// log: a loss of the same task, which is recorded before it, frees only itself.
+TEST_F(EndRecords, ATaskWaitsForItsEndWhenItsLossIsInTheLogBefore) {
+  auto Owner = owner(1, true, {First, Second});
+  startStored(*Owner);
+  Faults.Cut.insert({"10.0.1.1", "10.1.1.1"});
+  Faults.Cut.insert({"10.0.1.1", "10.1.1.2"});
+  run(1500ms);
+  Faults.Cut.clear();
+  run(1s);
+  ASSERT_EQ(Workers.unacknowledgedEnds(), 1U);
+  Log.commitOldest();
+  run(50ms);
+  EXPECT_EQ(Workers.Starts, 1U);
+  Log.resume();
+  run(100ms);
+  EXPECT_EQ(Workers.Starts, 1U);
+  EXPECT_EQ(Workers.unacknowledgedEnds(), 0U);
+  expectOneRun();
+}
+
 /// Stored and transient jobs under successive owners, of which each may be cut
 /// off from the log, from a worker, or both, at any time.
 class EndRecordsPlay : public EndRecords {
