Log an end as unconfirmed where the leadership was lost

A batch that the leader has sent before it is cut off may be committed by the next one. The event is called `end_unconfirmed` now.

--- a/src/jobs/internal/endrecords.cpp
+++ b/src/jobs/internal/endrecords.cpp
@@ -16,12 +16,13 @@
 
 constexpr const char *Module = "jobs";
 
-/// Logs what became of a batch with \p Ends of tasks at \p Worker.
+/// Logs what became of a batch with \p Ends of tasks at \p Worker. If the
+/// leadership was lost, the batch may be in the log all the same.
 void logRecording(const WorkerId &Worker, const std::vector<TaskEnd> &Ends,
                   const Outcome<Done> &Result) {
   for (const TaskEnd &End : Ends)
     logEvent(Result ? LogLevel::Info : LogLevel::Warning, Module,
-             Result ? "end_recorded" : "end_not_recorded",
+             Result ? "end_recorded" : "end_unconfirmed",
              {{"job", End.Task.Job},
               {"step", End.Task.Step},
               {"index", End.Task.Index},
