Keep the state of the scheduler tests apart from their fixture

The random play of the ends' records used a fixture as a plain object. Its state is a struct of its own now, which fixture and play share. All checks stay; one test is named after what it shows.

--- a/src/jobs/tests/endrecordstest.cpp
+++ b/src/jobs/tests/endrecordstest.cpp
@@ -16,36 +16,35 @@
 
 using namespace std::chrono_literals;
 
+Job named(Job New, const std::string &Id) {
+  New.Id = JobId(Id);
+  return New;
+}
+
+void runTransient(Scheduler &Owner, const Job &New) {
+  TransientRequest Request;
+  Request.TimeLeft = 5s;
+  Owner.run(New, Request, [](const Outcome<TransientEnd> & /*Ended*/) {
+    // The tests look at the workers.
+  });
+}
+
 class EndRecords : public SchedulerFake {
 protected:
-  EndRecords() { Workers.TaskTime = 100ms; }
-
-  Job named(const std::string &Id, bool Transient) const {
-    Job New = job(Transient);
-    New.Id = JobId(Id);
-    return New;
-  }
+  const TaskId StoredTask{JobId("stored"), 0, 0};
 
-  static TaskId taskOf(const std::string &Id) { return {JobId(Id), 0, 0}; }
+  EndRecords() { Workers.TaskTime = 100ms; }
 
   /// Accepts the stored job "stored" and stalls the log once its task runs.
   void startStored(Scheduler &Owner) {
     run(50ms);
-    Owner.accept(named("stored", false),
+    Owner.accept(named(job(false), "stored"),
                  [](const Outcome<Done> &Was) { ASSERT_TRUE(Was); });
     run(50ms);
     ASSERT_EQ(Workers.running(), 1U);
     Log.stall();
   }
 
-  static void runTransient(Scheduler &Owner, const Job &New) {
-    TransientRequest Request;
-    Request.TimeLeft = 5s;
-    Owner.run(New, Request, [](const Outcome<TransientEnd> & /*Ended*/) {
-      // The tests look at the workers.
-    });
-  }
-
   /// The next owner has nothing of what was not committed.
   void replaceOwner(std::unique_ptr<Scheduler> &Owner) {
     Owner.reset();
@@ -67,11 +66,11 @@
 TEST_F(EndRecords, AnUnrecordedEndIsNotAcknowledgedWithALaterTransientOne) {
   auto Owner = owner(1, true, {First});
   startStored(*Owner);
-  runTransient(*Owner, named("transient", true));
+  runTransient(*Owner, named(job(true), "transient"));
   run(300ms);
   EXPECT_EQ(Workers.Starts, 2U);
   EXPECT_EQ(Workers.running(), 0U);
-  EXPECT_EQ(Workers.Acknowledged.count(taskOf("stored")), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
   replaceOwner(Owner);
   EXPECT_EQ(Workers.Starts, 2U);
   expectOneRun();
@@ -81,13 +80,13 @@
 TEST_F(EndRecords, AnUnrecordedEndIsNotAcknowledgedWithALaterStoppedRun) {
   auto Owner = owner(1, true, {First});
   startStored(*Owner);
-  runTransient(*Owner, named("transient", true));
+  runTransient(*Owner, named(job(true), "transient"));
   run(80ms);
   ASSERT_EQ(Workers.running(), 1U);
   Owner->dropWaiter(JobId("transient"), WaiterId());
   run(300ms);
   EXPECT_EQ(Workers.running(), 0U);
-  EXPECT_EQ(Workers.Acknowledged.count(taskOf("stored")), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
   replaceOwner(Owner);
   expectOneRun();
 }
@@ -97,7 +96,7 @@
 TEST_F(EndRecords, AllEndsAreAcknowledgedOnceTheBatchIsInTheLog) {
   auto Owner = owner(1, true, {First});
   startStored(*Owner);
-  runTransient(*Owner, named("transient", true));
+  runTransient(*Owner, named(job(true), "transient"));
   run(300ms);
   EXPECT_NE(Workers.unacknowledgedEnds(), 0U);
   Log.resume();
@@ -106,9 +105,9 @@
   expectOneRun();
 }
 
-// Guards against a batch of an earlier session of the worker that counts as the
-// record of ends which only a later batch contains.
-TEST_F(EndRecords, ABatchOfAnEarlierSessionRecordsNothingOfTheNextOne) {
+// The same where the worker was dropped and listed again meanwhile, so that two
+// batches contain the end.
+TEST_F(EndRecords, AnUnrecordedEndIsNotAcknowledgedInTheNextSession) {
   auto Owner = owner(1, true, {First});
   startStored(*Owner);
   run(100ms);
@@ -116,9 +115,9 @@
   Directory = WorkerDirectory();
   Owner->applyWorkers(Directory);
   announceTo(*Owner, {First});
-  runTransient(*Owner, named("transient", true));
+  runTransient(*Owner, named(job(true), "transient"));
   run(300ms);
-  EXPECT_EQ(Workers.Acknowledged.count(taskOf("stored")), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
   Log.resume();
   run(100ms);
   EXPECT_EQ(Workers.unacknowledgedEnds(), 0U);
@@ -149,7 +148,7 @@
 
 /// Stored and transient jobs under successive owners, of which each may be cut
 /// off from the log, from a worker, or both, at any time.
-class EndRecordsPlay : public EndRecords {
+class EndRecordsPlay : private SchedulerSetup {
 public:
   explicit EndRecordsPlay(std::uint64_t Seed) : Rng_(Seed) {
     Workers.TaskTime = 60ms;
@@ -189,10 +188,6 @@
 
   std::size_t accepted() const { return Accepted_.size(); }
 
-  void TestBody() override {
-    // The property calls play().
-  }
-
 private:
   void act() {
     switch (Rng_.below(10)) {
@@ -209,7 +204,8 @@
     default:
       break;
     }
-    Job New = named("job" + std::to_string(++LastJob_), Rng_.below(2) == 0);
+    Job New =
+        named(job(Rng_.below(2) == 0), "job" + std::to_string(++LastJob_));
     if (New.Spec.Transient)
       return runTransient(*Owner_, New);
     Stored_.insert(New.Id);
--- a/src/jobs/tests/schedulerfake.h
+++ b/src/jobs/tests/schedulerfake.h
@@ -14,9 +14,9 @@
 
 namespace geraniumbay::jobs {
 
-class SchedulerFake : public testing::Test {
+class SchedulerSetup {
 public:
-  SchedulerFake() {
+  SchedulerSetup() {
     First = Workers.add("10.1.1.1", "a", 2000);
     Second = Workers.add("10.1.1.2", "a", 2000);
   }
@@ -86,6 +86,9 @@
   WorkerInfo Second;
 };
 
+/// The same as a fixture.
+class SchedulerFake : public testing::Test, public SchedulerSetup {};
+
 } // namespace geraniumbay::jobs
 
 #endif // GERANIUMBAY_JOBS_TESTS_SCHEDULERFAKE_H
