--- a/src/jobs/tests/endrecordstest.cpp
+++ b/src/jobs/tests/endrecordstest.cpp
@@ -31,7 +31,7 @@
 
 class EndRecords : public SchedulerFake {
 protected:
-  const TaskId StoredTask{JobId("stored"), 0, 0};
+  const TaskId StoredTask_{JobId("stored"), 0, 0};
 
   EndRecords() { Workers.TaskTime = 100ms; }
 
@@ -70,7 +70,7 @@
   run(300ms);
   EXPECT_EQ(Workers.Starts, 2U);
   EXPECT_EQ(Workers.running(), 0U);
-  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask_), 0U);
   replaceOwner(Owner);
   EXPECT_EQ(Workers.Starts, 2U);
   expectOneRun();
@@ -86,7 +86,7 @@
   Owner->dropWaiter(JobId("transient"), WaiterId());
   run(300ms);
   EXPECT_EQ(Workers.running(), 0U);
-  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask_), 0U);
   replaceOwner(Owner);
   expectOneRun();
 }
@@ -117,7 +117,7 @@
   announceTo(*Owner, {First});
   runTransient(*Owner, named(job(true), "transient"));
   run(300ms);
-  EXPECT_EQ(Workers.Acknowledged.count(StoredTask), 0U);
+  EXPECT_EQ(Workers.Acknowledged.count(StoredTask_), 0U);
   Log.resume();
   run(100ms);
   EXPECT_EQ(Workers.unacknowledgedEnds(), 0U);
