Let a control VM whose disk failed write its state anew and return

Cause: MemberRunner took a failed write for the end of the member, but its process ran on and nothing started the member again.

Evidence: the log of such a VM has one disk_failed at the first change after its disk is full, and no line of the group after it.

Fix: a failure is a pause. Nothing on the disk is relied on, as a sync that follows a failed one may succeed without the lost bytes. What it has promised is in memory and stays. A leader leads again in a later term only, since fencing tokens follow from the term.

status (writable), log (disk_failed, disk_still_fails, disk_recovered, disk_stalls) and metrics (geraniumbay_control_disk_writable and _disk_failures_total) tell a member that can't write, and its return.

Tests: with the return taken out all DiskFailureTest, one FailedWriteTest and both GroupProperties.*WithFailingDisks* fail; with a return that writes nothing anew FailedWriteTest.WhatIsConfirmedAfterAFailureOutlivesALossOfPower does. The storage of tests now loses what a failed sync should have written, also when later syncs succeed.

--- a/src/control/controlstatus.h
+++ b/src/control/controlstatus.h
@@ -44,6 +44,8 @@
   VmId Vm;
   /// It answered; without an answer the other fields mean nothing.
   bool Reachable = false;
+  /// Its disk takes what it writes; else it neither leads nor votes.
+  bool Writable = false;
   /// "joining", "follower", "candidate" or "leader".
   std::string Role;
   ConfigVersion Version;
--- a/src/control/internal/controlreports.cpp
+++ b/src/control/internal/controlreports.cpp
@@ -101,6 +101,7 @@
       "Voters that may still be lost; below 0 there is no majority", Now.Spare);
   Set("geraniumbay_control_in_touch", "Whether this VM leads or hears a leader",
       Now.InTouch);
+  watchDisk();
   bool Changed = Now != LoggedGroup_;
   LoggedGroup_ = Now;
   if (Changed)
@@ -162,7 +163,7 @@
   Report.Watchers = report(Watchers_, Clock_.now());
   Report.History.assign(State.Machine.History.begin(),
                         State.Machine.History.end());
-  Report.ControlVms.push_back({Options_.Self, !Runner_->failed(),
+  Report.ControlVms.push_back({Options_.Self, /*Reachable=*/true, writes(),
                                roleName(State.Raft.Current), Published_.Version,
                                Clock_.now() - Started_});
   return Report;
@@ -173,7 +174,7 @@
   Work->Report = localStatus();
   for (const ControlPeer &Peer : Options_.ControlVms)
     if (Peer.Vm != Options_.Self)
-      Work->Report.ControlVms.push_back({Peer.Vm, false, "", {}, {}});
+      Work->Report.ControlVms.push_back({Peer.Vm, false, false, "", {}, {}});
   Work->Awaited = Options_.ControlVms.size() - 1;
   if (Work->Awaited == 0)
     return Done(std::move(Work->Report));
--- a/src/control/internal/controlservice.cpp
+++ b/src/control/internal/controlservice.cpp
@@ -1,7 +1,8 @@
 //===- controlservice.cpp - One control VM on the network -----------------===//
 //
 // Start, the timer, consensus messages and proposals. Watching and status are
-// in controlreports.cpp, what other parts of the process use in controllog.cpp.
+// in controlreports.cpp, what other parts of the process use in controllog.cpp,
+// failures of the disk in controldisk.cpp.
 //
 //===----------------------------------------------------------------------===//
 
@@ -138,8 +139,6 @@
 }
 
 void ControlService::tick() {
-  if (Runner_->failed())
-    return;
   if (!Runner_->busy() && !Leaving_)
     Runner_->post(Tick{});
   proposeFirst();
@@ -208,8 +207,7 @@
 void ControlService::handled(const ReplicaEvent &What) {
   publish();
   logChanges();
-  for (const auto &Run : Subscribers_)
-    Run();
+  notifySubscribers();
   const auto *From = std::get_if<Received>(&What);
   if (!From)
     return;
@@ -217,14 +215,6 @@
     Call.mapped()(Error{ErrorCode::Unavailable, "the message has no answer"});
 }
 
-void ControlService::failed(const Error &Why) {
-  logEvent(LogLevel::Error, Module, "disk_failed", {{"reason", Why.Message}});
-  for (auto &[Call, Answer] : std::exchange(Calls_, {}))
-    Answer(Error{ErrorCode::Unavailable, "the member's disk has failed"});
-  for (auto &[Id, Answer] : std::exchange(Proposals_, {}))
-    Answer(Error{ErrorCode::Timeout, "the member's disk has failed"});
-}
-
 bool ControlService::leads() const {
   return !Runner_->failed() && mayPropose(Runner_->replica().Raft);
 }
--- a/src/control/internal/controlservice.h
+++ b/src/control/internal/controlservice.h
@@ -15,6 +15,9 @@
 //     -> {version, revision, document?, ledgers?}, from what is applied here
 //   control.status  {} -> the merged report; {local: true} -> this VM's own
 //
+// While its disk fails, the VM answers only what needs no disk: control.watch
+// and control.status. Other calls are refused at once.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef GERANIUMBAY_CONTROL_INTERNAL_CONTROLSERVICE_H
@@ -78,7 +81,16 @@
   void logChanges();
   /// Keeps the gauges of the group, and logs what has changed.
   void watchGroup();
+
+  // The disk.
   void failed(const Error &Why);
+  /// Tries to write the member anew, again after \p Pause if that fails.
+  void repair(Duration Pause);
+  /// Logs a write that takes long, once, and its end; sets the gauge.
+  void watchDisk();
+  /// Whether this VM can write: no write has failed, and none takes long.
+  bool writes() const;
+  void notifySubscribers();
 
   // Proposals.
   void propose(const Json::Value &Params, const Reply &Answer);
@@ -122,6 +134,12 @@
   Membership LoggedMembers_;
   std::optional<MemberId> LoggedLeader_;
   GroupReport LoggedGroup_;
+  bool LoggedStall_ = false;
+
+  /// When the disk failed, and how often the member was written since in vain.
+  Time FailedSince_;
+  std::uint64_t FailedRepairs_ = 0;
+  std::string LoggedFailure_;
 
   std::uint64_t LastCall_ = 0;
   /// Consensus messages received and not yet answered, by Message::Call.
--- a/src/control/internal/memberrunner.cpp
+++ b/src/control/internal/memberrunner.cpp
@@ -32,7 +32,7 @@
   if (Running_)
     return;
   Running_ = true;
-  while (!Busy_ && !Failed_ && !Queue_.empty())
+  while (!busy() && !Failed_ && !Queue_.empty())
     handleNext();
   Running_ = false;
 }
@@ -43,12 +43,12 @@
   ReplicaActions Do = step(State_, What, Clock_.now());
   if (Do.Raft.ToDisk.empty())
     return finish(What, Do, Done{});
-  Busy_ = true;
+  BusySince_ = Clock_.now();
   Persist ToDisk = Do.Raft.ToDisk;
   Store_.persist(State_.Raft, ToDisk,
                  [this, What = std::move(What),
                   Do = std::move(Do)](const Outcome<Done> &Synced) {
-                   Busy_ = false;
+                   BusySince_.reset();
                    finish(What, Do, Synced);
                    run();
                  });
@@ -56,12 +56,8 @@
 
 void MemberRunner::finish(const ReplicaEvent &What, const ReplicaActions &Do,
                           const Outcome<Done> &Synced) {
-  if (!Synced) {
-    Failed_ = true;
-    Queue_.clear();
-    Outputs_.Failed(Synced.error());
-    return;
-  }
+  if (!Synced)
+    return stopFor(Synced.error());
   for (const Message &Out : Do.Raft.Messages)
     Outputs_.Send(Out);
   for (const ProposalReply &Answer : Do.Replies)
@@ -69,4 +65,20 @@
   Outputs_.Handled(What);
 }
 
+void MemberRunner::stopFor(const Error &Why) {
+  Failed_ = true;
+  Queue_.clear();
+  for (const ProposalReply &Answer : stepDown(State_, Clock_.now()))
+    Outputs_.Reply(Answer);
+  Outputs_.Failed(Why);
+}
+
+Ret MemberRunner::repair() {
+  BOOST_LEAF_CHECK(Store_.rewrite(State_.Raft));
+  Failed_ = false;
+  // A campaign at once would only disturb a leader that is about to call.
+  stepDown(State_.Raft, Clock_.now());
+  return {};
+}
+
 } // namespace geraniumbay::control
--- a/src/control/internal/memberrunner.h
+++ b/src/control/internal/memberrunner.h
@@ -4,6 +4,12 @@
 // what a step changed is durable before its messages, answers and effects can
 // be seen, and before the next event is looked at.
 //
+// After a failed write or sync nothing is known of the disk. The member then
+// takes no part in the group: it drops the effects of the step as a network
+// would, gives up its leadership, and takes no events until repair() has
+// written its whole state anew. Its state in memory stays, and with it what it
+// has promised; to the others it was silent for a while.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef GERANIUMBAY_CONTROL_INTERNAL_MEMBERRUNNER_H
@@ -23,7 +29,7 @@
   std::function<void(const ProposalReply &)> Reply;
   /// An event has been handled and its effects are out.
   std::function<void(const ReplicaEvent &)> Handled;
-  /// The disk failed; the member does nothing any more.
+  /// The disk failed; the member does nothing until repair() succeeds.
   std::function<void(const Error &)> Failed;
 };
 
@@ -42,21 +48,29 @@
   /// of a step under way are not yet (see busy()).
   const Replica &replica() const { return State_; }
   /// Whether a step waits for the disk.
-  bool busy() const { return Busy_; }
+  bool busy() const { return BusySince_.has_value(); }
+  /// Whether a write has failed since the last that succeeded.
   bool failed() const { return Failed_; }
+  /// When the write under way began; nothing if none is.
+  std::optional<Time> busySince() const { return BusySince_; }
+
+  /// Of a member that has failed: writes its whole state anew, after which it
+  /// takes part again. Blocks. May be called again after it has failed.
+  Ret repair();
 
 private:
   void run();
   void handleNext();
   void finish(const ReplicaEvent &What, const ReplicaActions &Do,
               const Outcome<Done> &Synced);
+  void stopFor(const Error &Why);
 
   Replica State_;
   MemberStore &Store_;
   const IClock &Clock_;
   MemberOutputs Outputs_;
   std::deque<ReplicaEvent> Queue_;
-  bool Busy_ = false;
+  std::optional<Time> BusySince_;
   /// run() is on the stack, so a callback must not start another.
   bool Running_ = false;
   bool Failed_ = false;
--- a/src/control/internal/memberstore.cpp
+++ b/src/control/internal/memberstore.cpp
@@ -153,6 +153,7 @@
   BOOST_LEAF_ASSIGN(Member.Hard,
                     stored([&] { return wire::readHardState(Value); }));
   Disk_ = Member.Disk;
+  Written_ = Member.Hard;
   if (Member.Hard.Group == GroupId(0)) {
     // A crash while entering a group leaves files that nobody relies on.
     BOOST_LEAF_CHECK(removeAllBut({MemberFile}));
@@ -247,10 +248,25 @@
   Finish(std::move(Written));
 }
 
+Ret MemberStore::rewrite(const RaftState &State) {
+  // The smallest file goes first, unchanged: a disk that still refuses writes
+  // is noticed before the log is encoded.
+  BOOST_LEAF_CHECK(writeMember(HardState(Written_)));
+  if (State.Hard.Group == GroupId(0)) {
+    BOOST_LEAF_CHECK(removeAllBut({MemberFile}));
+    return writeMember(State.Hard);
+  }
+  BOOST_LEAF_CHECK(writeSnapshot(State.Log));
+  BOOST_LEAF_CHECK(writeSegment(State.Log));
+  return writeMember(State.Hard);
+}
+
 Ret MemberStore::writeMember(const HardState &Hard) {
   Json::Value Value = wire::write(Hard);
   Value["disk"] = Json::UInt64(Disk_.value());
-  return replaceWhole(Storage_, MemberFile, Value);
+  BOOST_LEAF_CHECK(replaceWhole(Storage_, MemberFile, Value));
+  Written_ = Hard;
+  return {};
 }
 
 Ret MemberStore::writeSnapshot(const RaftLog &Log) {
--- a/src/control/internal/memberstore.h
+++ b/src/control/internal/memberstore.h
@@ -49,10 +49,16 @@
   RetVal<RecoveredMember> recover();
 
   /// Makes what \p What names of \p State durable, then calls \p Done, perhaps
-  /// before persist() returns. After a failure the store must not be used any
-  /// more. No call may start before the one before it is done.
+  /// before persist() returns. After a failure only rewrite() may be called. No
+  /// call may start before the one before it is done.
   void persist(const RaftState &State, const Persist &What, Callback Done);
 
+  /// Writes all of \p State into new files after a failure, and relies on
+  /// nothing that the folder holds: a later sync of a file may succeed without
+  /// the bytes that an earlier one has failed to write. Blocks. May be called
+  /// again after it has failed.
+  Ret rewrite(const RaftState &State);
+
 private:
   RetVal<RecoveredMember> read();
   Ret readLog(RecoveredMember &Member);
@@ -68,6 +74,8 @@
   Generation Fresh_;
   /// The generation in use; 0 before recover().
   Generation Disk_;
+  /// The hard state that was last written durably.
+  HardState Written_;
   /// The log file in use: its N.
   LogIndex Segment_;
 };
--- a/src/control/internal/raft.cpp
+++ b/src/control/internal/raft.cpp
@@ -219,6 +219,13 @@
   return Out;
 }
 
+void stepDown(RaftState &State, Time Now) {
+  if (State.Current == Role::Joining)
+    return;
+  Actions Unused;
+  raft::becomeFollower(State, Unused, State.Hard.Current, Now);
+}
+
 bool mayPropose(const RaftState &State) {
   return State.Current == Role::Leader &&
          termAt(State.Log, State.Commit) == State.Hard.Current;
--- a/src/control/internal/raft.h
+++ b/src/control/internal/raft.h
@@ -142,6 +142,10 @@
 /// Handles one event. Committed entries are those up to State.Commit.
 Actions step(RaftState &State, const Event &What, Time Now);
 
+/// Ends the leadership or candidacy of a member whose disk has failed. Nothing
+/// that must survive a crash changes.
+void stepDown(RaftState &State, Time Now);
+
 /// Whether this member is a leader that has committed an entry of its term, so
 /// that its applied state is the newest there is.
 bool mayPropose(const RaftState &State);
--- a/src/control/internal/replica.cpp
+++ b/src/control/internal/replica.cpp
@@ -169,6 +169,13 @@
   return State;
 }
 
+std::vector<ProposalReply> stepDown(Replica &State, Time Now) {
+  stepDown(State.Raft, Now);
+  ReplicaActions Out;
+  dropWaiting(State, Out);
+  return std::move(Out.Replies);
+}
+
 ReplicaActions step(Replica &State, const ReplicaEvent &What, Time Now) {
   ReplicaActions Out;
   if (const auto *New = std::get_if<Submit>(&What))
--- a/src/control/internal/replica.h
+++ b/src/control/internal/replica.h
@@ -88,6 +88,10 @@
 /// Handles one event.
 ReplicaActions step(Replica &State, const ReplicaEvent &What, Time Now);
 
+/// Ends the leadership or candidacy of a member whose disk has failed. Returns
+/// the answers to proposals whose outcome is now unknown.
+std::vector<ProposalReply> stepDown(Replica &State, Time Now);
+
 } // namespace geraniumbay::control
 
 #endif // GERANIUMBAY_CONTROL_INTERNAL_REPLICA_H
--- a/src/control/internal/statuswire.cpp
+++ b/src/control/internal/statuswire.cpp
@@ -48,6 +48,7 @@
   Json::Value Result(Json::objectValue);
   Result["vm"] = Value.Vm.value();
   Result["reachable"] = Value.Reachable;
+  Result["writable"] = Value.Writable;
   Result["role"] = Value.Role;
   Result["version"] = Json::UInt64(Value.Version.value());
   Result["uptime_ms"] = toMillis(Value.Uptime);
@@ -59,6 +60,10 @@
   BOOST_LEAF_ASSIGN(Result.Vm, readName<VmId>(From, "vm"));
   BOOST_LEAF_ASSIGN(Result.Reachable,
                     json::readBoolOr(From, "reachable", false));
+  // A control VM of an older version says nothing of its disk, and calls
+  // itself out of reach when it has failed.
+  BOOST_LEAF_ASSIGN(Result.Writable,
+                    json::readBoolOr(From, "writable", Result.Reachable));
   BOOST_LEAF_ASSIGN(Result.Role, json::readString(From, "role"));
   BOOST_LEAF_ASSIGN(Result.Version, readNumber<ConfigVersion>(From, "version"));
   BOOST_LEAF_ASSIGN(Result.Uptime, readMillis(From, "uptime_ms"));
--- a/src/control/tests/groupfake.h
+++ b/src/control/tests/groupfake.h
@@ -25,6 +25,8 @@
   std::unique_ptr<MemberRunner> Runner;
   /// A frozen member keeps what it was sent until it is thawed.
   bool Frozen = false;
+  /// A test lets its disk fail; a failure that none asked for is an error.
+  bool DiskMayFail = false;
   std::vector<Message> Held;
   /// While the process ends as planned: when it ends at the latest, and its
   /// newest word to the leader.
@@ -47,6 +49,8 @@
   void stop(std::size_t I);
   void freeze(std::size_t I) { Members[I]->Frozen = true; }
   void thaw(std::size_t I);
+  /// Lets the disk's syncs fail, or succeed again.
+  void failDisk(std::size_t I, bool Fail = true);
   /// Cuts the member off from all others, or lets it talk again.
   void cut(std::size_t I, bool Off = true);
   /// Cuts one connection only.
--- a/src/control/tests/servicefake.h
+++ b/src/control/tests/servicefake.h
@@ -91,6 +91,8 @@
   ManualClock Clock;
   TimerQueue Timers{Clock};
   FakeNet Net{Timers};
+  /// The VM whose syncs don't complete.
+  std::optional<std::size_t> HoldSyncsOf;
   std::vector<ControlPeer> Peers;
   std::vector<std::unique_ptr<FakeControlVm>> Vms;
   std::unique_ptr<FakeRpc> OperatorRpc;
--- a/src/framework/storage/fakestorage.cpp
+++ b/src/framework/storage/fakestorage.cpp
@@ -44,10 +44,16 @@
 Ret FakeStorage::replace(const std::string &Name, std::string_view Bytes) {
   if (!fits(Bytes.size()))
     return fail(ErrorCode::Io, "no space left for " + Name);
-  if (SyncsFail_)
-    return fail(ErrorCode::Io, "sync failed of " + Name);
-  Files_[Name] = File{std::string(Bytes), Bytes.size(), true};
-  return {};
+  if (!SyncsFail_) {
+    Files_[Name] = File{std::string(Bytes), Bytes.size(), true, {}, false, {}};
+    return {};
+  }
+  File &Target = Files_[Name];
+  if (!Target.ReplaceUnsynced && Target.Durable)
+    Target.Earlier = Target.Bytes.substr(0, Target.DurableSize);
+  Target.ReplaceUnsynced = true;
+  Target.Bytes = Bytes;
+  return fail(ErrorCode::Io, "sync failed of " + Name);
 }
 
 Ret FakeStorage::truncate(const std::string &Name, std::uint64_t Size) {
@@ -114,12 +120,16 @@
     return;
   File &Target = Found->second;
   std::uint64_t Reached = std::min<std::uint64_t>(Size, Target.Bytes.size());
+  Reached = std::min(Reached, Target.LostFrom.value_or(Reached));
   Target.DurableSize = std::max(Target.DurableSize, Reached);
   Target.Durable = true;
 }
 
 void FakeStorage::finish(const PendingSync &Sync) {
   if (SyncsFail_) {
+    auto Found = Files_.find(Sync.Name);
+    if (Found != Files_.end() && !Found->second.LostFrom)
+      Found->second.LostFrom = Found->second.DurableSize;
     Sync.Done(Error{ErrorCode::Io, "sync failed of " + Sync.Name});
     return;
   }
@@ -130,9 +140,16 @@
 
 void FakeStorage::crashFiles(Random *Source) {
   Pending_.clear();
+  for (auto &[Name, Content] : Files_)
+    if (Content.ReplaceUnsynced) {
+      std::string Bytes = Content.Earlier.value_or("");
+      Content = {Bytes, Bytes.size(), Content.Earlier.has_value(),
+                 {},    false,        {}};
+    }
   std::erase_if(Files_,
                 [](const auto &Entry) { return !Entry.second.Durable; });
   for (auto &[Name, Content] : Files_) {
+    Content.LostFrom.reset();
     std::uint64_t Unsynced = Content.Bytes.size() - Content.DurableSize;
     std::uint64_t Kept = Source ? Source->below(Unsynced + 1) : 0;
     Content.Bytes.resize(Content.DurableSize + Kept);
--- a/src/framework/storage/fakestorage.h
+++ b/src/framework/storage/fakestorage.h
@@ -2,7 +2,9 @@
 //
 // The storage of tests: files in memory with the failures of a real disk. A
 // crash loses what was not synced, syncs complete when the test says so, and
-// the disk can be full, lost, failing or damaged.
+// the disk can be full, lost, failing or damaged. As on Linux, a file whose
+// sync has failed is read as if it had not, and later syncs of it succeed
+// without making durable what the failed one should have.
 //
 //===----------------------------------------------------------------------===//
 
@@ -51,10 +53,11 @@
   /// Loses the disk: crash(), and every file is gone.
   void wipe();
 
-  /// Lets appends fail once all files together would exceed \p Bytes; nothing
+  /// Lets writes fail once all files together would exceed \p Bytes; nothing
   /// lifts the limit.
   void setCapacity(std::optional<std::uint64_t> Bytes) { Capacity_ = Bytes; }
-  /// Lets every sync that completes from now on fail, or succeed again.
+  /// Lets every sync that completes from now on fail, or succeed again. A
+  /// replace() that fails for it may be read, but does not outlive a crash.
   void setSyncsFail(bool Fail) { SyncsFail_ = Fail; }
   /// Inverts the bits of one stored byte, which must exist.
   void flipByte(const std::string &Name, std::uint64_t Offset);
@@ -71,6 +74,12 @@
     std::uint64_t DurableSize = 0;
     /// Whether the file itself outlives a crash; set by its first sync.
     bool Durable = false;
+    /// Bytes from here on are not made durable: a sync of them has failed.
+    std::optional<std::uint64_t> LostFrom;
+    /// Of a file whose replace() was not synced: what a crash brings back, with
+    /// the file itself if it is not set.
+    bool ReplaceUnsynced = false;
+    std::optional<std::string> Earlier;
   };
   struct PendingSync {
     std::string Name;
--- a/src/framework/storage/tests/fakestoragetest.cpp
+++ b/src/framework/storage/tests/fakestoragetest.cpp
@@ -61,6 +61,41 @@
   EXPECT_EQ(contentOf(Disk, "log"), "error: no file log");
 }
 
+TEST(FakeStorageTest, ALaterSyncDoesNotSaveWhatAFailedOneLost) {
+  FakeStorage Disk;
+  appends(Disk, "one");
+  Disk.sync("log", [](const Outcome<Done> &) {});
+  Disk.completeAllSyncs();
+  Disk.setSyncsFail(true);
+  appends(Disk, "two");
+  Disk.sync("log", [](const Outcome<Done> &) {});
+  Disk.completeAllSyncs();
+  Disk.setSyncsFail(false);
+  appends(Disk, "three");
+  bool Synced = false;
+  Disk.sync("log", [&](const Outcome<Done> &Result) { Synced = Result.ok(); });
+  Disk.completeAllSyncs();
+  EXPECT_TRUE(Synced);
+  EXPECT_EQ(contentOf(Disk, "log"), "onetwothree");
+  Disk.crash();
+  EXPECT_EQ(contentOf(Disk, "log"), "one");
+}
+
+TEST(FakeStorageTest, AReplacementWhoseSyncFailsIsReadButNotDurable) {
+  FakeStorage Disk;
+  auto Replace = [&](const std::string &Name, const std::string &Bytes) {
+    return attempt([&] { return Disk.replace(Name, Bytes); }).ok();
+  };
+  EXPECT_TRUE(Replace("old", "one"));
+  Disk.setSyncsFail(true);
+  EXPECT_FALSE(Replace("old", "two"));
+  EXPECT_FALSE(Replace("new", "two"));
+  EXPECT_EQ(contentOf(Disk, "old"), "two");
+  Disk.crash();
+  EXPECT_EQ(contentOf(Disk, "old"), "one");
+  EXPECT_EQ(contentOf(Disk, "new"), "error: no file new");
+}
+
 RC_GTEST_PROP(FakeStorageTest, ATornCrashKeepsAPrefixFromTheSyncedSize,
               (const std::string &Synced, const std::string &Unsynced,
                std::uint64_t Seed)) {
