Write a recovered log anew, as its tail may be in the system's cache only

What callers could see: a confirmed change, or a claim of a submission, that is gone after a loss of power.

Cause: a process that starts after one whose sync had failed reads what the failed sync has left in the cache. A sync of the same file then succeeds without writing it, and the member, or the ledger, counts it as durable.

Fix: at a start the last log file is written into a new file, synced, and put in the old one's place. Earlier files were synced before the next one was begun.

Evidence: FailedWriteTest.AProcessStartedAfterAFailedSyncWritesItsLogAnew and JournalTest.AStartAfterAFailedSyncWritesTheLogAnew failed before and pass. A start costs one more sync, that of the folder.

--- a/src/control/internal/memberstore.cpp
+++ b/src/control/internal/memberstore.cpp
@@ -182,10 +182,14 @@
   RecordFile File = decodeRecords(Bytes);
   if (File.Tail == RecordTail::Corrupt)
     return corrupt("the log does not check");
-  // Even a whole tail may not be synced yet, if the earlier process was killed
-  // between a write and its sync: a majority must not count what a loss of
-  // power still takes. One sync at a start, 9 ms on the platform's disks.
-  BOOST_LEAF_CHECK(Storage_.truncate(segmentName(Segment_), File.ValidSize));
+  // Even a whole tail may be in the system's cache only, if the earlier process
+  // was killed before a sync or after one that failed: a majority must not
+  // count what a loss of power still takes. A new file is needed, as a sync
+  // that follows a failed one may succeed without the lost bytes. Two syncs at
+  // a start, 18 ms on the platform's disks.
+  BOOST_LEAF_CHECK(
+      Storage_.replace(segmentName(Segment_),
+                       std::string_view(Bytes).substr(0, File.ValidSize)));
   // A log that begins before the snapshot is replayed from its own beginning;
   // the snapshot is then taken as if the leader had sent it.
   Member.Log.Base.Last = Segment_;
--- a/src/control/tests/diskfailuretest.cpp
+++ b/src/control/tests/diskfailuretest.cpp
@@ -265,6 +265,31 @@
     EXPECT_EQ(Group.at(I).Machine.Version, ConfigVersion(2));
 }
 
+// Guards against a restart that takes for written what a failed sync has left
+// in the system's cache only.
+TEST_F(FailedWriteTest, AProcessStartedAfterAFailedSyncWritesItsLogAnew) {
+  std::size_t Failing = (leader() + 1) % 3;
+  Group.failDisk(Failing);
+  ASSERT_TRUE(change(0));
+  Group.kill(Failing);
+  Group.failDisk(Failing, false);
+  Group.start(Failing);
+  Group.run(1s);
+  std::size_t First = leader();
+  std::size_t Third = 3 - First - Failing;
+  Group.cut(Third);
+  ASSERT_TRUE(change(1));
+  Group.crash(Failing);
+  Group.crash(Third);
+  Group.wipe(First);
+  Group.cut(Third, false);
+  for (std::size_t I = 0; I < 3; ++I)
+    Group.start(I);
+  Group.run(5s);
+  for (std::size_t I = 0; I < 3; ++I)
+    EXPECT_EQ(Group.at(I).Machine.Version, ConfigVersion(2));
+}
+
 // Guards against a log that grows while the snapshot can't be written, and
 // against a snapshot and a log that don't fit each other after a loss of power.
 TEST_F(FailedWriteTest, CompactionOnAFailingDiskIsMadeUpFor) {
--- a/src/framework/storage/fakestorage.cpp
+++ b/src/framework/storage/fakestorage.cpp
@@ -63,8 +63,9 @@
   File &Target = Found->second;
   if (Size < Target.Bytes.size())
     Target.Bytes.resize(Size);
-  Target.DurableSize = Target.Bytes.size();
-  Target.Durable = true;
+  makeDurable(Name, Target.Bytes.size());
+  Target.DurableSize =
+      std::min<std::uint64_t>(Target.DurableSize, Target.Bytes.size());
   return {};
 }
 
--- a/src/ledger/internal/journalrecovery.cpp
+++ b/src/ledger/internal/journalrecovery.cpp
@@ -67,14 +67,12 @@
 RetVal<Recovered> Journal::open(const DataCentreId &Home) {
   Recovered Result;
   Result.Claims.Home = Home;
+  Segments_.clear();
   BOOST_LEAF_ASSIGN(Result.Known, readMeta());
   Generation_ = Result.Known.Generation;
   BOOST_LEAF_CHECK(removeSegmentsExcept(Generation_));
   BOOST_LEAF_CHECK(readSegments(Result));
-  // What was read may still be in the system's cache only.
-  Appended_ = 1;
-  AppendedIndex_ = Result.Past.Last.Index;
-  startSync();
+  AppendedIndex_ = DurableIndex_ = Result.Past.Last.Index;
   return Result;
 }
 
@@ -144,8 +142,11 @@
     Segments_.pop_back();
     return Storage_.remove(Name);
   }
-  if (File.Tail == RecordTail::Torn)
-    return Storage_.truncate(Name, File.ValidSize);
+  // What was read may be in the system's cache only, after a sync that failed
+  // or was never reached. Later syncs of the same file need not write it.
+  if (IsLast)
+    return Storage_.replace(Name,
+                            std::string_view(Bytes).substr(0, File.ValidSize));
   return {};
 }
 
--- a/src/ledger/tests/journaltest.cpp
+++ b/src/ledger/tests/journaltest.cpp
@@ -88,6 +88,25 @@
   RC_ASSERT(contentOf(*Ledger.Copy) == States[Found]);
 }
 
+// Guards against a restart that takes for written what a failed sync has left
+// in the system's cache only.
+TEST(JournalTest, AStartAfterAFailedSyncWritesTheLogAnew) {
+  SingleLedger Ledger(1 << 20U);
+  Ledger.write(RecordKind::Claim, 0);
+  Ledger.Disk.setSyncsFail(true);
+  Ledger.Disk.completeAllSyncs();
+  Ledger.Disk.endProcess();
+  Ledger.Disk.setSyncsFail(false);
+  Ledger.open();
+  ASSERT_EQ(Ledger.Copy->claims().Entries.size(), 1U);
+  EXPECT_TRUE(Ledger.write(RecordKind::Claim, 1));
+  Ledger.Disk.completeAllSyncs();
+  Content Before = contentOf(*Ledger.Copy);
+  Ledger.Disk.crash();
+  Ledger.open();
+  EXPECT_TRUE(contentOf(*Ledger.Copy) == Before);
+}
+
 TEST(JournalTest, ATailTornAtAnyByteIsCutOff) {
   SingleLedger Ledger(1 << 20U);
   for (int Number = 0; Number < 3; ++Number)
