Write the copy of the configuration again once the disk takes it

What operators could see: a process with an older configuration after a restart than before it, while no control VM can be reached.

Cause: the copy that a restart begins with was written once for each version. A disk that was full at that moment kept the older one.

Fix: a copy that the disk refused is written again after the next answer of a control VM. Its failure and its end are logged once.

Evidence: ConfigCopyTest.ACopyThatTheDiskRefusedIsWrittenOnceItTakesIt failed before and passes.

--- a/src/control/internal/configsource.cpp
+++ b/src/control/internal/configsource.cpp
@@ -102,6 +102,8 @@
     Failures_ = 0;
     schedule(Options_.Interval);
     take(std::move(*New));
+    if (CopyDue_)
+      keep();
     if (isConfirmed(*Result))
       for (const Confirmation &Run : Confirmations_)
         Run();
@@ -174,9 +176,12 @@
     BOOST_LEAF_CHECK(encodeRecord(json::write(wire::write(Current_)), Bytes));
     return Storage_->replace(CopyFile, Bytes);
   });
-  if (!Written)
-    logEvent(LogLevel::Warning, Module, "config_copy_not_written",
-             {{"reason", Written.error().Message}});
+  bool Due = !Written;
+  if (Due != std::exchange(CopyDue_, Due))
+    logEvent(Due ? LogLevel::Warning : LogLevel::Info, Module,
+             Due ? "config_copy_not_written" : "config_copy_written",
+             {{"version", Current_.Version},
+              {"reason", Due ? Written.error().Message.c_str() : ""}});
 }
 
 } // namespace geraniumbay::control
--- a/src/control/internal/configsource.h
+++ b/src/control/internal/configsource.h
@@ -41,6 +41,7 @@
   /// Takes what is newer of \p New; tells subscribers if anything is.
   void take(ConfigSnapshot New);
   void load();
+  /// Writes the copy that a restart begins with.
   void keep();
 
   ConfigSourceOptions Options_;
@@ -56,6 +57,8 @@
   std::size_t Failures_ = 0;
   TimerId Timer_;
   bool Asking_ = false;
+  /// The disk did not take the copy; it is written again after the next answer.
+  bool CopyDue_ = false;
 };
 
 } // namespace geraniumbay::control
--- a/src/control/tests/diskfailuretest.cpp
+++ b/src/control/tests/diskfailuretest.cpp
@@ -200,6 +200,26 @@
   EXPECT_EQ(writableCount(Net.status()), 3);
 }
 
+// Guards against a restart with an older configuration than the process had,
+// since its disk was full when that came.
+TEST(ConfigCopyTest, ACopyThatTheDiskRefusedIsWrittenOnceItTakesIt) {
+  ServiceFake Net;
+  FakeStorage Disk;
+  auto Rpc = Net.process(1);
+  auto Source = Net.source(*Rpc, "e1", "entry", 1, &Disk);
+  Disk.setCapacity(0);
+  ASSERT_TRUE(Net.propose("a", 0, "doc"));
+  Net.run(4s);
+  ASSERT_EQ(Source->current().Version, ConfigVersion(1));
+  Disk.setCapacity(std::nullopt);
+  Net.run(4s);
+  Disk.crash();
+  auto Rpc2 = Net.process(2);
+  Net.Net.Cut.insert(Endpoint{"10.0.1.2", 7000});
+  auto Again = Net.source(*Rpc2, "e1", "entry", 2, &Disk);
+  EXPECT_EQ(Again->current(), Source->current());
+}
+
 class FailedWriteTest : public testing::Test {
 public:
   FailedWriteTest() {
