Let a ledger whose disk failed write its claims anew and return

What callers saw: after one failed sync a ledger refused everything until its process was restarted; after two, the data centre had no ledger. One that could not open its folder at the start never tried again, though its process ran on.

Fix: the ledger writes all claims into new segments beside the old ones and switches to them in one step, as for a copy from another ledger, every 0.8 s until the disk takes it. A start that fails is tried again likewise.

Evidence: ReplicationTest.ALedgerWhoseDiskFailedTakesPartAgainByItself, BothLedgersReturnAfterTheirDisksFailedTogether and ALedgerStartsOnceItsDiskTakesWrites failed before and pass. Cluster::healAll no longer restarts ledgers whose disks failed, which makes all tests that use it stricter: AMemberWhoseSyncFailsCountsNoMore and InterleavingTest failed before as well, and pass.

--- a/src/ledger/iledger.h
+++ b/src/ledger/iledger.h
@@ -19,7 +19,8 @@
   Epoch Current;
   bool IsPrimary = false;
   bool IsMember = false;
-  /// The disk has failed; the process has to be restarted.
+  /// The disk has failed; the ledger serves nothing until it has written its
+  /// state anew.
   bool Failed = false;
   /// Some member is silent; new claims are refused.
   bool Stalled = false;
@@ -35,7 +36,8 @@
 public:
   virtual ~ILedger() = default;
 
-  /// Reads the disk and begins to take part. Fails with Io.
+  /// Reads the disk and begins to take part. Fails with Io, and then tries
+  /// again by itself until the disk can be used.
   virtual Ret start() = 0;
   /// Takes a view of the own data centre. To be called whenever control has
   /// confirmed the view, also if it has not changed: a ledger that control has
--- a/src/ledger/internal/follower.h
+++ b/src/ledger/internal/follower.h
@@ -30,6 +30,8 @@
   /// Replies to what has become durable.
   void onSynced();
   void viewChanged();
+  /// Takes no further part of the copy that is coming in.
+  void dropCopy() { Copy_ = 0; }
   void tick();
   /// Takes the silence of the past for the process's own.
   void forgiveSilence();
--- a/src/ledger/internal/journal.cpp
+++ b/src/ledger/internal/journal.cpp
@@ -11,6 +11,7 @@
 #include "ledger/internal/journalfiles.h"
 #include "ledger/internal/viewwire.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace geraniumbay::ledger {
@@ -105,7 +106,7 @@
   auto Saved = attempt([&] { return saveMeta(Known); });
   if (!Saved) {
     // Which content a restart finds is not known.
-    Failed_ = true;
+    stopFor(Saved.error());
     return fail(Saved.error());
   }
   Segments_ = std::move(Copy_);
@@ -116,6 +117,25 @@
   return removeSegmentsExcept(Generation_);
 }
 
+Ret Journal::rewrite(const Meta &Known, const std::vector<Record> &Entries,
+                     const HeadState &Head) {
+  // Bounds the memory that one write takes.
+  constexpr std::size_t EntriesPerWrite = 1024;
+  BOOST_LEAF_CHECK(beginCopy(Head));
+  for (std::size_t First = 0; First < Entries.size();
+       First += EntriesPerWrite) {
+    std::size_t End = std::min(First + EntriesPerWrite, Entries.size());
+    BOOST_LEAF_CHECK(
+        addToCopy({Entries.begin() + static_cast<std::ptrdiff_t>(First),
+                   Entries.begin() + static_cast<std::ptrdiff_t>(End)},
+                  Head));
+  }
+  BOOST_LEAF_CHECK(finishCopy(Known));
+  Failed_ = false;
+  Failure_.clear();
+  return {};
+}
+
 RetVal<bool> Journal::compact(const Book &Claims, AgeMillis Before,
                               const HeadState &Head) {
   if (Segments_.size() < 2 || Segments_[1].Began >= Before)
@@ -171,6 +191,11 @@
   return {};
 }
 
+void Journal::stopFor(const Error &Why) {
+  Failed_ = true;
+  Failure_ = Why.Message;
+}
+
 void Journal::startSync() {
   if (Syncing_ || Failed_)
     return;
@@ -191,7 +216,7 @@
   // A sync of what a copy has replaced meanwhile says nothing.
   bool Counts = Covered.Generation == Generation_;
   if (Counts && !Result)
-    Failed_ = true;
+    stopFor(Result.error());
   if (Counts && Result) {
     Durable_ = std::max(Durable_, Covered.Count);
     DurableIndex_ = std::max(DurableIndex_, Covered.Index);
--- a/src/ledger/internal/journal.h
+++ b/src/ledger/internal/journal.h
@@ -65,7 +65,8 @@
 };
 
 /// The log of one ledger. After a failure of append() nothing was written;
-/// after a failed sync the journal takes nothing more (failed()).
+/// after a failed sync the journal takes nothing more (failed()) until
+/// rewrite() has succeeded.
 class Journal {
 public:
   using Synced = std::function<void()>;
@@ -94,6 +95,12 @@
   /// Blocks.
   Ret finishCopy(const Meta &Known);
 
+  /// Of a journal that has failed: writes \p Entries, all that \p Head stands
+  /// for, into new segments in place of the old ones, of which nothing is
+  /// known. Blocks. May be called again after it has failed.
+  Ret rewrite(const Meta &Known, const std::vector<Record> &Entries,
+              const HeadState &Head);
+
   /// Removes the oldest segment if it ended before \p Before, after it has
   /// restated what \p Claims still has of it. Returns whether there was one.
   RetVal<bool> compact(const Book &Claims, AgeMillis Before,
@@ -102,6 +109,8 @@
   /// The last place of the log that is known to be durable.
   std::uint64_t durableIndex() const { return DurableIndex_; }
   bool failed() const { return Failed_; }
+  /// Why it has failed; empty if it has not.
+  const std::string &failure() const { return Failure_; }
   const JournalStats &stats() const { return Stats_; }
   std::size_t segmentCount() const { return Segments_.size(); }
 
@@ -135,6 +144,7 @@
            const HeadState &Head);
   Ret write(std::uint64_t Generation, Segment &To,
             const std::vector<Record> &Records);
+  void stopFor(const Error &Why);
   void startSync();
   void finishSync(const Outcome<Done> &Result, const SyncScope &Covered);
   void removeObsolete();
@@ -158,6 +168,7 @@
   std::uint64_t DurableIndex_ = 0;
   bool Syncing_ = false;
   bool Failed_ = false;
+  std::string Failure_;
   JournalStats Stats_;
   /// Lets callbacks of the storage find out that the journal is gone.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
--- a/src/ledger/internal/ledgerservice.cpp
+++ b/src/ledger/internal/ledgerservice.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// How often a ledger whose disk has failed tries to use it again.
+constexpr Duration RepairInterval = std::chrono::milliseconds(800);
+
 /// Hands a typed result on as JSON.
 template <typename T>
 Primary::Reply<T> asJson(IRpcServer::Reply Answer,
@@ -74,7 +77,12 @@
 LedgerService::~LedgerService() { Timers_.cancel(NextTick_); }
 
 Ret LedgerService::start() {
-  BOOST_LEAF_CHECK(Replica_.open());
+  auto Opened = attempt([this] { return Replica_.open(); });
+  if (!Opened) {
+    NextTick_ = Timers_.after(RepairInterval,
+                              [this] { attempt([this] { return start(); }); });
+    return fail(Opened.error());
+  }
   Started_ = true;
   logEvent(LogLevel::Info, "ledger", "started",
            {{"data_centre", Config_.DataCentre},
@@ -180,12 +188,36 @@
   notePause();
   LastTick_ = Clock_.now();
   NextTick_ = Timers_.after(Config_.Tick, [this] { onTick(); });
+  watchDisk();
   Replicator_.tick();
   Follower_.tick();
   Primary_.tick();
   Replica_.prune();
 }
 
+void LedgerService::watchDisk() {
+  Time Now = Clock_.now();
+  if (!Replica_.failed() || Now < RepairAt_)
+    return;
+  RepairAt_ = Now + RepairInterval;
+  if (!FailedSince_) {
+    FailedSince_ = Now;
+    logEvent(LogLevel::Error, "ledger", "disk_failed",
+             {{"reason", Replica_.failure()},
+              {"last", Replica_.past().Last.Index},
+              {"durable", Replica_.durableIndex()}});
+  }
+  auto Written = attempt([this] { return Replica_.repair(); });
+  if (!Written)
+    return;
+  logEvent(LogLevel::Info, "ledger", "disk_recovered",
+           {{"failed_us", (Now - *std::exchange(FailedSince_, {})).count()},
+            {"submissions", Replica_.claims().Entries.size()},
+            {"last", Replica_.past().Last.Index}});
+  Follower_.dropCopy();
+  onSynced();
+}
+
 void LedgerService::notePause() {
   if (Clock_.now() - LastTick_ <= Config_.LongPause)
     return;
--- a/src/ledger/internal/ledgerservice.h
+++ b/src/ledger/internal/ledgerservice.h
@@ -37,6 +37,8 @@
   void offerToLedgers(IRpcServer &Server);
   void onSynced();
   void onTick();
+  /// Logs a failure of the disk and tries to write the ledger anew.
+  void watchDisk();
   void notePause();
   void onViewChanged();
 
@@ -51,6 +53,9 @@
   TimerId NextTick_;
   Time LastTick_;
   bool Started_ = false;
+  /// Since when the disk has failed.
+  std::optional<Time> FailedSince_;
+  Time RepairAt_;
 };
 
 } // namespace geraniumbay::ledger
--- a/src/ledger/internal/replica.cpp
+++ b/src/ledger/internal/replica.cpp
@@ -52,6 +52,14 @@
   return {};
 }
 
+Ret Replica::repair() {
+  std::vector<Record> Entries;
+  Entries.reserve(Claims_.Entries.size());
+  for (const auto &[Submission, Known] : Claims_.Entries)
+    Entries.push_back(restate(Submission, Known));
+  return Journal_.rewrite(metaOf(Meta_), Entries, headState());
+}
+
 Ret Replica::formatDisk() {
   Meta_ = {{Config_.Vm, DiskId(Numbers_.bits() >> 1U)}, 1, {}, {}};
   Claims_ = Book{};
--- a/src/ledger/internal/replica.h
+++ b/src/ledger/internal/replica.h
@@ -31,6 +31,10 @@
   /// After an Io failure the replica serves nothing.
   Ret open();
 
+  /// After a failed sync: writes all claims anew, after which the replica takes
+  /// records again. A copy that is coming in is given up.
+  Ret repair();
+
   /// Takes a view handed out by control, durably. Returns whether it is newer.
   RetVal<bool> applyView(const LedgerView &Next);
   /// Remembers durably that \p Member is to be added to the view.
@@ -59,6 +63,8 @@
   const History &past() const { return Past_; }
   std::uint64_t durableIndex() const { return Journal_.durableIndex(); }
   bool failed() const { return Failed_ || Journal_.failed(); }
+  /// Why a sync has failed; empty if none has.
+  const std::string &failure() const { return Journal_.failure(); }
   const JournalStats &stats() const { return Journal_.stats(); }
   /// The ledger's age now.
   AgeMillis age() const;
--- a/src/ledger/tests/cluster.cpp
+++ b/src/ledger/tests/cluster.cpp
@@ -117,9 +117,8 @@
     thaw(Number);
     at(Number).Disk.setSyncsFail(false);
     at(Number).Disk.setCapacity(std::nullopt);
-    bool Down = Number < Ledgers_
-                    ? !at(Number).Ledger || at(Number).Ledger->status().Failed
-                    : !at(Number).Client;
+    // A ledger whose disk has failed comes back by itself.
+    bool Down = Number < Ledgers_ ? !at(Number).Ledger : !at(Number).Client;
     if (Down) {
       crash(Number);
       start(Number);
--- a/src/ledger/tests/replicationtest.cpp
+++ b/src/ledger/tests/replicationtest.cpp
@@ -103,6 +103,56 @@
   EXPECT_EQ(state(System.claim(2, System.issue(3))), ClaimState::Granted);
 }
 
+// Guards against a ledger that stays out until its process is restarted.
+TEST_F(ReplicationTest, ALedgerWhoseDiskFailedTakesPartAgainByItself) {
+  for (std::size_t Failing : {Second, First}) {
+    System.at(Failing).Disk.setSyncsFail(true);
+    System.claim(2, System.issue(1 + Failing));
+    System.run(seconds(5));
+    EXPECT_TRUE(System.at(Failing).Ledger->status().Failed);
+    System.at(Failing).Disk.setSyncsFail(false);
+    ASSERT_TRUE(System.runUntil([&] {
+      return System.hasMembers(2) &&
+             !System.at(Failing).Ledger->status().Failed;
+    }));
+    EXPECT_EQ(state(System.claim(2, System.issue(10 + Failing))),
+              ClaimState::Granted);
+  }
+}
+
+TEST_F(ReplicationTest, BothLedgersReturnAfterTheirDisksFailedTogether) {
+  std::string Id = System.issue(1);
+  EXPECT_EQ(state(System.claim(2, Id)), ClaimState::Granted);
+  EXPECT_EQ(*System.record(2, Id, "yes"), "yes");
+  for (std::size_t Ledger : {First, Second})
+    System.at(Ledger).Disk.setSyncsFail(true);
+  EXPECT_FALSE(System.claim(2, System.issue(2)).ok());
+  for (std::size_t Ledger : {First, Second})
+    System.at(Ledger).Disk.setSyncsFail(false);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+  EXPECT_EQ(state(System.claim(2, System.issue(3))), ClaimState::Granted);
+  // What both wrote anew outlives a loss of power.
+  restart(First);
+  restart(Second);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  EXPECT_EQ(state(System.claim(3, Id)), ClaimState::Answered);
+}
+
+// Guards against a ledger that a full disk keeps from starting for good.
+TEST_F(ReplicationTest, ALedgerStartsOnceItsDiskTakesWrites) {
+  System.crash(Second);
+  System.at(Second).Disk.setCapacity(0);
+  System.start(Second);
+  System.run(seconds(5));
+  EXPECT_TRUE(System.at(Second).Ledger->status().Failed);
+  System.at(Second).Disk.setCapacity(std::nullopt);
+  ASSERT_TRUE(System.runUntil([&] { return System.hasMembers(2); }));
+  System.run(seconds(3));
+  EXPECT_FALSE(System.at(Second).Ledger->status().Failed);
+  EXPECT_EQ(state(System.claim(2, System.issue(1))), ClaimState::Granted);
+}
+
 TEST_F(ReplicationTest, ARecordThatAMemberHasNotSyncedIsNotCommitted) {
   System.WithoutControl = {First, Second};
   System.StalledDisks = {Second};
