Keep the claim of a job that an earlier owner of the pool had

What callers could see: two runs of a task at one time, at two pools of a data centre, ordered by two entries.

Cause: the later owner of a pool claims a job that is sent to it again, and the registrar tells it that an earlier owner had the job. If the entry that sent it was not heard for 0.3 s by then, or its request was dropped, the later owner gave the claim back, and the job could go to another pool, while tasks that the earlier owner had started may still run.

Fix: such a claim is not given back. It expires, and until then the job stays with the pool whose owner finds its runs.

Test: RegistrationTest.AJobThatAnEarlierOwnerHadStaysWithItsPool failed before and passes.

--- a/src/jobs/internal/entryjobs.h
+++ b/src/jobs/internal/entryjobs.h
@@ -236,6 +236,9 @@
   /// Releases the claim for a submission of a job that has not run here and
   /// will not, so that the job may go to any pool. Does nothing while another
   /// submission of the job is here.
+  /// Releases the claim that \p Answer has agreed to, of a job that is not
+  /// taken after all, unless an earlier owner of the pool had the job.
+  void releaseUnused(const Incoming &Request, const ClaimAnswer &Answer);
   void releaseClaim(const Incoming &Request);
   static Claimant claimantOf(const Incoming &Request);
 
--- a/src/jobs/internal/registration.cpp
+++ b/src/jobs/internal/registration.cpp
@@ -184,8 +184,8 @@
   for (std::size_t I = 0; I < Asked.size(); ++I) {
     if (Incoming_.count(Asked[I]) != 0)
       handleClaimAnswer(Asked[I], Parsed->Answers[I]);
-    else if (Parsed->Answers[I].Pool == Asked[I]->Pool)
-      releaseClaim(*Asked[I]);
+    else
+      releaseUnused(*Asked[I], Parsed->Answers[I]);
   }
   askRegistrar(Home);
 }
@@ -204,7 +204,7 @@
   bool Owns = Member && Member->scheduler() && ownsPool(Member->view()) &&
               Member->scheduler()->token() == Request->Token;
   if (!Owns || !wasHeardRecently(Request->ArrivalInfo.From.Origin)) {
-    releaseClaim(*Request);
+    releaseUnused(*Request, Answer);
     return Request->OnEnded(refusedError("the pool has another owner, or the "
                                          "job has waited for too long"));
   }
@@ -275,6 +275,13 @@
                      });
 }
 
+void EntryJobs::releaseUnused(const Incoming &Request,
+                              const ClaimAnswer &Answer) {
+  // Tasks that an earlier owner of the pool has started may still run here.
+  if (Answer.Pool == Request.Pool && !Answer.HadOtherOwner)
+    releaseClaim(Request);
+}
+
 void EntryJobs::releaseClaim(const Incoming &Request) {
   if (Request.Question == 0 || holds(Request.Wanted.Id, Request.Pool))
     return;
--- a/src/jobs/tests/entryjobstest.cpp
+++ b/src/jobs/tests/entryjobstest.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "jobs/internal/jobmessages.h"
+#include "jobs/internal/jobwire.h"
 #include "jobs/tests/entryfake.h"
 
 #include <gtest/gtest.h>
@@ -387,5 +388,92 @@
   }
 }
 
+/// Calls of an entry that the test plays itself, in data centre "a".
+class PlayedEntry {
+public:
+  explicit PlayedEntry(EntryFake &Fake) : Fake_(Fake) {}
+
+  Json::Value call(const Endpoint &To, const char *Method,
+                   const Json::Value &Params) {
+    Json::Value Answer;
+    Fake_.Net.call(At, To, Method, Params, 1s,
+                   [&](const Outcome<Json::Value> &Result) {
+                     if (Result)
+                       Answer = *Result;
+                   });
+    Fake_.run(10ms);
+    return Answer;
+  }
+
+  OwnerClaim ownerOf(const PoolName &Pool) {
+    Json::Value Params(Json::objectValue);
+    Params["from"] = At.text();
+    Params["pools"][Pool.value()] = Json::Value(Json::objectValue);
+    Json::Value Claim = call(Fake_.Entries[0].At, wire::method::Ping,
+                             Params)["pools"][Pool.value()];
+    auto Owner =
+        attempt([&] { return parseEndpoint(Claim["owner"].asString()); });
+    return {*Owner, FencingToken(Claim["token"].asUInt64())};
+  }
+
+  /// The pool that the registrar of \p Home names for \p Job when \p Claim is
+  /// sent to it.
+  PoolName claim(const PoolName &Home, const JobId &Job,
+                 const Claimant &Claim) {
+    Json::Value Params(Json::objectValue);
+    Params["home"] = Home.value();
+    Params["heeded"] = 0;
+    Params["claims"].append(wire::write(Job, Claim));
+    Json::Value Answer = call(ownerOf(Home).At, wire::method::Register, Params);
+    return PoolName(Answer["answers"][0]["pool"].asString());
+  }
+
+  const Endpoint At{"10.0.1.9", 7000};
+
+private:
+  EntryFake &Fake_;
+};
+
+// Guards against two runs of a job at two pools: the later owner of a pool, for
+// which the registrar took long, did not take the job and gave its claim back,
+// though tasks that the earlier owner had started may have run there.
+TEST(RegistrationTest, AJobThatAnEarlierOwnerHadStaysWithItsPool) {
+  EntryFake Fake(3, 6);
+  Fake.settleByRack();
+  PlayedEntry Sender(Fake);
+  std::vector<PoolName> Homes{PoolName("a/even"), PoolName("a/odd")};
+  JobId Job("job");
+  PoolName Home = *homeOf(Job, Homes);
+  PoolName Pool = Home == Homes[0] ? Homes[1] : Homes[0];
+  OwnerClaim Registrar = Sender.ownerOf(Home);
+  OwnerClaim Owner = Sender.ownerOf(Pool);
+  ASSERT_NE(Registrar.At, Owner.At);
+  FencingToken Earlier(Owner.Token.value() - 1);
+  ASSERT_EQ(Sender.claim(Home, Job, {Pool, Earlier, 1}), Pool);
+  jobs::Job Wanted;
+  Wanted.Id = Job;
+  Wanted.Queue = QueueName("queue");
+  Wanted.Service = ServiceId("service");
+  Wanted.MaxFailures = 3;
+  Wanted.Spec.Transient = true;
+  Wanted.Spec.Steps.resize(1);
+  Json::Value Params(Json::objectValue);
+  Params["pool"] = Pool.value();
+  Params["home"] = Home.value();
+  Params["job"] = wire::write(Wanted);
+  Params["origin"] = Sender.At.text();
+  Params["incarnation"] = 1;
+  Params["serial"] = 1;
+  Params["left_us"] = 3'000'000;
+  Params["age_us"] = 0;
+  // As heard just now, and not again until the registrar answers.
+  Params["echo_us"] = Json::UInt64(Fake.Clock.now().time_since_epoch().count());
+  Fake.Turns.delay(Registrar.At.Address, 450ms);
+  Sender.call(Owner.At, wire::method::Run, Params);
+  Fake.run(900ms);
+  EXPECT_EQ(Fake.Workers.Starts, 0U);
+  EXPECT_EQ(Sender.claim(Home, Job, {Home, Registrar.Token, 1}), Pool);
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
