Tell a later owner each time that an earlier one had the job

What callers could see: two runs of a task at one time in one pool.

Cause: a registrar told the later owner of a pool with its first claim only that an earlier owner had the job, since it then knew the claim under the later token. An owner that did not take the job after that claim, as its sender was not heard, and was sent it again, took it as new: it started its tasks without waiting for the answers of the workers that may have run them.

Fix: the register keeps with the claim that there was an earlier owner.

Test: JobRegisterTest.ALaterOwnerIsToldAgainThatTheJobMayRun failed before and passes.

--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -54,12 +54,14 @@
 
 void JobRegister::applyReport(const Claimant &Owner,
                               const std::vector<JobId> &Jobs, Time Now) {
-  Reported_.insert(Owner.Pool);
+  Reported_[Owner.Pool] = Owner.Token;
   for (const JobId &Id : Jobs) {
     auto Known = Claims_.find(Id);
-    if (Known == Claims_.end() || (Known->second.Owner.Pool == Owner.Pool &&
-                                   Known->second.Owner.Token <= Owner.Token))
-      store(Id, Owner, Now);
+    if (Known == Claims_.end())
+      store(Id, {Owner, Now, false});
+    else if (Known->second.Owner.Pool == Owner.Pool &&
+             Known->second.Owner.Token <= Owner.Token)
+      store(Id, {Owner, Now, Known->second.HadOtherOwner});
   }
 }
 
@@ -84,15 +86,18 @@
   removeExpired(Now);
   auto Found = Claims_.find(Id);
   if (Found == Claims_.end()) {
-    store(Id, Owner, Now);
+    store(Id, {Owner, Now, false});
     return {Owner.Pool, false};
   }
-  Claimant Current = Found->second.Owner;
-  if (Current.Pool != Owner.Pool)
-    return {Current.Pool, false};
-  if (Owner.Token >= Current.Token)
-    store(Id, Owner, Now);
-  return {Owner.Pool, Current.Token != Owner.Token};
+  const Claim Current = Found->second;
+  if (Current.Owner.Pool != Owner.Pool)
+    return {Current.Owner.Pool, false};
+  // An owner that did not take the job after its first claim is told again.
+  bool HadOtherOwner =
+      Current.HadOtherOwner || Current.Owner.Token != Owner.Token;
+  if (Owner.Token >= Current.Owner.Token)
+    store(Id, {Owner, Now, HadOtherOwner});
+  return {Owner.Pool, HadOtherOwner};
 }
 
 void JobRegister::release(const JobId &Id, const Claimant &Owner) {
@@ -105,9 +110,9 @@
     Claims_.erase(Found);
 }
 
-void JobRegister::store(const JobId &Id, const Claimant &Owner, Time Now) {
-  Claims_[Id] = {Owner, Now};
-  ClaimsByAge_.emplace_back(Now, Id);
+void JobRegister::store(const JobId &Id, const Claim &Agreed) {
+  Claims_[Id] = Agreed;
+  ClaimsByAge_.emplace_back(Agreed.Since, Id);
 }
 
 void JobRegister::removeExpired(Time Now) {
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -105,9 +105,11 @@
   struct Claim {
     Claimant Owner;
     Time Since;
+    /// An earlier owner of the pool had the job.
+    bool HadOtherOwner = false;
   };
 
-  void store(const JobId &Id, const Claimant &Owner, Time Now);
+  void store(const JobId &Id, const Claim &Agreed);
   void removeExpired(Time Now);
   bool haveReported(const std::vector<PoolName> &Pools) const;
 
@@ -120,7 +122,8 @@
   /// The same if all entries of this data centre have been restarted.
   std::optional<Time> NearEndedBy_;
   std::optional<Time> FarEndedBy_;
-  std::set<PoolName> Reported_;
+  /// The owners that have reported, by their tokens.
+  std::map<PoolName, FencingToken> Reported_;
   bool Complete_ = false;
   std::unordered_map<JobId, Claim> Claims_;
   /// The claims in the order of their times, including those that were released
--- a/src/jobs/tests/jobregistertest.cpp
+++ b/src/jobs/tests/jobregistertest.cpp
@@ -89,6 +89,19 @@
   EXPECT_TRUE(Near.updateCompleteness({East}, {}, Time(3s)));
 }
 
+// Guards against a second run beside one of an earlier owner: the later owner
+// did not take the job after its first claim, and started it after its second.
+TEST(JobRegisterTest, ALaterOwnerIsToldAgainThatTheJobMayRun) {
+  JobRegister Register = newRegister();
+  Register.claim(Job, owner(East), Time());
+  Register.claim(Job, owner(East, Later, 2), Time(1ms));
+  EXPECT_EQ(Register.claim(Job, owner(East, Later, 3), Time(2ms)),
+            (ClaimAnswer{East, true}));
+  Register.applyReport(owner(East, Later, 4), {Job}, Time(3ms));
+  EXPECT_EQ(Register.claim(Job, owner(East, Later, 5), Time(4ms)),
+            (ClaimAnswer{East, true}));
+}
+
 // Its pool may still run jobs of an earlier owner.
 TEST(JobRegisterTest, ItWaitsLongerForAnOwnerThatDoesNotKnowYet) {
   JobRegister Register = newRegister();
