Ask the present owner of a pool for its report, not only an earlier one

What callers could see: two runs of a task at one time, at two pools.

Cause: a new registrar is complete once the owners of all pools have reported, which promise to obey no earlier registrar. It kept by pool who had reported. An owner that followed one that had reported was not asked, had promised nothing, and could go on to claim jobs from the earlier registrar.

Fix: a report counts for the owner that gave it. A registrar that is not complete yet asks again when a pool has a later owner. The number of reports grows by one for each change of an owner while a register fills.

Test: JobRegisterTest.AReportDoesNotCountOnceThePoolHasALaterOwner failed before and passes.

--- a/src/jobs/internal/jobregister.cpp
+++ b/src/jobs/internal/jobregister.cpp
@@ -65,6 +65,12 @@
   }
 }
 
+void JobRegister::noteOwner(const PoolName &Pool, FencingToken Token) {
+  auto Found = Reported_.find(Pool);
+  if (!Complete_ && Found != Reported_.end() && Found->second < Token)
+    Reported_.erase(Found);
+}
+
 bool JobRegister::haveReported(const std::vector<PoolName> &Pools) const {
   return std::all_of(Pools.begin(), Pools.end(),
                      [&](const PoolName &Each) { return hasReported(Each); });
--- a/src/jobs/internal/jobregister.h
+++ b/src/jobs/internal/jobregister.h
@@ -76,6 +76,10 @@
   /// Notes that an owner does not yet know what runs in its pool, so that its
   /// report is still to come.
   void noteNotReady(Time Now);
+  /// Notes the token of the present owner of \p Pool. The report of an earlier
+  /// one does not count any more: the present one may have claimed jobs from
+  /// another registrar, as it has not promised to accept none.
+  void noteOwner(const PoolName &Pool, FencingToken Token);
   bool hasReported(const PoolName &Pool) const {
     return Reported_.count(Pool) != 0;
   }
--- a/src/jobs/internal/registrar.cpp
+++ b/src/jobs/internal/registrar.cpp
@@ -50,6 +50,8 @@
     JobRegister *Register = registerOf(Home);
     if (!Register || Register->isComplete())
       continue;
+    for (const auto &[Pool, Other] : Pools_)
+      Register->noteOwner(Pool, Other->view().Owner.Token);
     // The other owners are likely to be ready when this one is.
     if (Member->scheduler()->hasTakenOver())
       for (const auto &[Pool, Other] : Pools_)
--- a/src/jobs/tests/jobregistertest.cpp
+++ b/src/jobs/tests/jobregistertest.cpp
@@ -102,6 +102,21 @@
             (ClaimAnswer{East, true}));
 }
 
+// Guards against a register that is complete on the word of an owner that has
+// been replaced: its successor has not promised to obey no earlier registrar.
+TEST(JobRegisterTest, AReportDoesNotCountOnceThePoolHasALaterOwner) {
+  JobRegister Register = newRegister();
+  Register.applyReport(owner(East), {}, Time());
+  Register.noteOwner(East, Earlier);
+  EXPECT_TRUE(Register.hasReported(East));
+  Register.noteOwner(East, Later);
+  Register.applyReport(owner(West), {}, Time());
+  EXPECT_FALSE(Register.updateCompleteness({East, West}, {}, Time(1ms)));
+  Register.applyReport(owner(East, Later), {Job}, Time(2ms));
+  EXPECT_TRUE(Register.updateCompleteness({East, West}, {}, Time(2ms)));
+  EXPECT_EQ(Register.claim(Job, owner(West), Time(3ms)).Pool, East);
+}
+
 // Its pool may still run jobs of an earlier owner.
 TEST(JobRegisterTest, ItWaitsLongerForAnOwnerThatDoesNotKnowYet) {
   JobRegister Register = newRegister();
