--- a/src/control/tests/diskfailuretest.cpp
+++ b/src/control/tests/diskfailuretest.cpp
@@ -250,6 +250,24 @@
     return Found != Group.Answers.end() && Found->second.ok();
   }
 
+  /// Lets \p Failing and the leader confirm version 2, and expects it after a
+  /// loss of power of all and of the leader's disk.
+  void expectConfirmsDurably(std::size_t Failing) {
+    std::size_t First = leader();
+    std::size_t Third = 3 - First - Failing;
+    Group.cut(Third);
+    ASSERT_TRUE(change(1));
+    Group.crash(Failing);
+    Group.crash(Third);
+    Group.wipe(First);
+    Group.cut(Third, false);
+    for (std::size_t I = 0; I < 3; ++I)
+      Group.start(I);
+    Group.run(5s);
+    for (std::size_t I = 0; I < 3; ++I)
+      EXPECT_EQ(Group.at(I).Machine.Version, ConfigVersion(2));
+  }
+
   void crashAllAndStart() {
     for (std::size_t I = 0; I < Group.Members.size(); ++I)
       Group.crash(I);
@@ -269,20 +287,7 @@
   Group.run(1s);
   Group.failDisk(Failing, false);
   Group.run(1s);
-  // The member and the leader are the majority that confirms.
-  std::size_t First = leader();
-  std::size_t Third = 3 - First - Failing;
-  Group.cut(Third);
-  ASSERT_TRUE(change(1));
-  Group.crash(Failing);
-  Group.crash(Third);
-  Group.wipe(First);
-  Group.cut(Third, false);
-  for (std::size_t I = 0; I < 3; ++I)
-    Group.start(I);
-  Group.run(5s);
-  for (std::size_t I = 0; I < 3; ++I)
-    EXPECT_EQ(Group.at(I).Machine.Version, ConfigVersion(2));
+  expectConfirmsDurably(Failing);
 }
 
 // Guards against a restart that takes for written what a failed sync has left
@@ -295,19 +300,7 @@
   Group.failDisk(Failing, false);
   Group.start(Failing);
   Group.run(1s);
-  std::size_t First = leader();
-  std::size_t Third = 3 - First - Failing;
-  Group.cut(Third);
-  ASSERT_TRUE(change(1));
-  Group.crash(Failing);
-  Group.crash(Third);
-  Group.wipe(First);
-  Group.cut(Third, false);
-  for (std::size_t I = 0; I < 3; ++I)
-    Group.start(I);
-  Group.run(5s);
-  for (std::size_t I = 0; I < 3; ++I)
-    EXPECT_EQ(Group.at(I).Machine.Version, ConfigVersion(2));
+  expectConfirmsDurably(Failing);
 }
 
 // Guards against a log that grows while the snapshot can't be written, and
