--- a/src/control/tests/diskfailuretest.cpp
+++ b/src/control/tests/diskfailuretest.cpp
@@ -9,9 +9,10 @@
 #include "control/tests/groupfake.h"
 #include "control/tests/servicefake.h"
 
-#include <algorithm>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace geraniumbay::control {
 namespace {
 
