--- /dev/null
+++ b/review/common-2/checks.py
@@ -0,0 +1,93 @@
+"""Checks of the rule LOST, from what clients and workers see."""
+
+import itertools
+import time
+
+from deployment import BOUNDS, call
+
+# LOST: "for 3 s, a job has nothing running while a task's turn has come".
+IDLE_S = 3.0
+# Each job is asked for until this time is over. The page says "in time"; this
+# is several times what a client waits for one response.
+ASK_S = 10.0
+
+
+def finish_time(traffic_ended, back=None):
+    """When jobs are asked for: `finish_s` after the end of the traffic, and
+    not before `recovery_s` after the last machine is back."""
+    due = traffic_ended + BOUNDS["finish_s"]
+    if back is not None:
+        due = max(due, back + BOUNDS["recovery_s"])
+    return due
+
+
+def wait_till(record, moment):
+    time.sleep(max(0.0, moment - record.now()))
+
+
+def ask_all(deployment, jobs):
+    """Asks for each job at the entries in turn until all are answered or ASK_S
+    is over. Returns the states by job; None for a job without an answer."""
+    states = dict.fromkeys(jobs)
+    until = time.monotonic() + ASK_S
+    entries = itertools.cycle(range(len(deployment.entries)))
+    while time.monotonic() < until:
+        open_jobs = [job for job, state in states.items() if state is None]
+        if not open_jobs:
+            break
+        for job in open_jobs:
+            if time.monotonic() >= until:
+                break
+            status, body = deployment.ask(next(entries), "GET", job)
+            if status == 200:
+                states[job] = body["state"]
+            elif status == 410:
+                states[job] = "gone"
+    return states
+
+
+def lost_answers(states):
+    """Breaches by jobs that aren't known or gave no answer in time."""
+    breaches = []
+    silent = [job for job, state in states.items() if state is None]
+    gone = [job for job, state in states.items() if state == "gone"]
+    if silent:
+        breaches.append(f"LOST: {len(silent)} of {len(states)} accepted jobs "
+                        f"gave no answer for {ASK_S:g} s, such as {silent[0]}")
+    if gone:
+        breaches.append(f"LOST: {len(gone)} of {len(states)} accepted jobs "
+                        f"aren't known, such as {gone[0]}")
+    return breaches
+
+
+def longest_idle(deployment, seconds):
+    """Watches the workers for so long. Returns the longest span in which no
+    worker ran anything, and so all capacity was free."""
+    until = time.monotonic() + seconds
+    began, longest = None, 0.0
+    while time.monotonic() < until:
+        now = time.monotonic()
+        if deployment.at_work:
+            began = None
+        else:
+            began = began or now
+            longest = max(longest, now - began)
+        time.sleep(0.02)
+    deployment.record.line("watched", seconds=seconds,
+                           longest_idle=f"{longest:.2f}")
+    return longest
+
+
+def read_manifest(deployment):
+    """Reads the manifest back for `contact_ms`; its version or None."""
+    until = time.monotonic() + BOUNDS["contact_ms"] / 1000.0
+    while time.monotonic() < until:
+        for node in deployment.controls():
+            status, body = call(node, "GET", "/config", timeout=1)
+            deployment.record.line(
+                "read_manifest", node=node, status=status,
+                version=(body or {}).get("version") if status == 200 else "-")
+            if status == 200:
+                return body["version"]
+        time.sleep(0.1)
+    return None
