--- a/review/common-2/checks.py
+++ b/review/common-2/checks.py
@@ -93,22 +93,21 @@
     return None
 
 
-def runs_at_once(deployment):
-    """The starts of a task that ran on another worker at that moment; rows of
-    task, run, worker and the other runs by worker. A run that is lost with its
-    worker ends with it."""
+def started_again(deployment):
+    """The starts of a task after a run of it had ended `done`, where that end
+    was taken note of, then or later, before the worker's lease lapsed. Rows of
+    task, run, worker, and the run and the worker that ended."""
     events = [(at, 1, task, number, worker)
               for at, task, number, worker in deployment.starts]
-    # Of an end and a start at the same moment, the end counts first.
-    events += [(at, 0, task, number, worker)
-               for at, task, number, worker, _ in deployment.finished]
-    running, doubled = {}, []
-    for _, begins, task, number, worker in sorted(events):
-        runs = running.setdefault(task, {})
-        if not begins:
-            runs.pop(worker, None)
-            continue
-        if runs:
-            doubled.append((task, number, worker, dict(runs)))
-        runs[worker] = number
-    return doubled
+    # Of an end and a start at the same moment, the start counts first.
+    events += [(at, 2, task, number, worker)
+               for at, task, number, worker, how in deployment.finished
+               if how == "done"]
+    done, again = {}, []
+    for _, kind, task, number, worker in sorted(events):
+        if kind == 2:
+            if (number, worker) in deployment.seen_done.get(task, ()):
+                done.setdefault(task, (number, worker))
+        elif task in done:
+            again.append((task, number, worker, done[task]))
+    return again
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -150,6 +150,8 @@
         self.highest = {}
         self.ends = []
         self.last_end = 0
+        # Ends that weren't taken note of before the lease lapsed.
+        self.lapsed_ends = set()
         self.alive = True
         # A worker that is cut off runs on, hears nothing and says nothing.
         self.cut = False
@@ -179,7 +181,7 @@
         self.server.end_channels()
         self.record.line("worker_crashed", worker=self.name)
 
-    def _report(self):
+    def report(self):
         return {
             "service": SERVICE, "address": self.address, "zone": self.zone,
             "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -198,7 +200,7 @@
                 if not self.alive or self.cut:
                     break
                 status, body = call(
-                    node, "PUT", f"/instances/{self.name}", self._report(),
+                    node, "PUT", f"/instances/{self.name}", self.report(),
                     {"Content-Type": "application/json"}, PING_TIMEOUT_S,
                 )
                 if status == 200:
@@ -220,6 +222,8 @@
                 self._end(task, run, "lapsed")
             elif run.ends <= now:
                 self._end(task, run, "done")
+        if self.lease <= now:
+            self.lapsed_ends.update(end[0] for end in self.ends)
 
     def _end(self, task, run, how):
         del self.running[task]
@@ -249,10 +253,15 @@
         if order["deadline_ms"] <= self.clock():
             return 409, "late"
         work = json.loads(order["spec"])
+        seconds = work.get("seconds")
+        if seconds is None:
+            # Tasks that end together, within a span.
+            seconds = max(0.0, work["until"] - time.monotonic())
+            seconds += random.random() * work["span"]
         used = sum(each.cpu for each in self.running.values())
         if used + work["cpu"] > self.cpu:
             return 409, "room"
-        ends = time.monotonic() + work["seconds"]
+        ends = time.monotonic() + seconds
         self.running[task] = Run(number, ends, work["cpu"])
         self.deployment.note_start(self, task, number)
         return 200, None
@@ -268,6 +277,9 @@
     def _hold(self, order):
         if "deadline_ms" in order:
             self._extend(order["deadline_ms"])
+        for number, task, run, how, _ in self.ends:
+            if number <= order["last_seen"] and number not in self.lapsed_ends:
+                self.deployment.note_seen(self, task, run, how)
         self.ends = [e for e in self.ends if e[0] > order["last_seen"]]
         until = time.monotonic() + min(order.get("wait_ms", 0), 2000) / 1000.0
         while not self.ends and self.alive and not self.cut:
@@ -468,6 +480,8 @@
         self.at_work = {}
         self.starts = []
         self.finished = []
+        # Ends that were taken note of while the worker's lease held, by task.
+        self.seen_done = {}
         self.last_work = 0.0
         base, self.port = self._find_ports()
         self.base = base
@@ -590,6 +604,12 @@
         self.record.line("run_ends", task=task, run=number, how=how,
                          worker=worker.name)
 
+    def note_seen(self, worker, task, number, how):
+        if how != "done":
+            return
+        with self.lock:
+            self.seen_done.setdefault(task, set()).add((number, worker.name))
+
     def leader(self):
         """The control machine whose log was the last to say that it leads."""
         latest = None
