--- a/review/common-2/checks.py
+++ b/review/common-2/checks.py
@@ -111,3 +111,24 @@
         elif task in done:
             again.append((task, number, worker, done[task]))
     return again
+
+
+def runs_at_once(deployment):
+    """The starts of a task that ran on another worker at that moment; rows of
+    task, run, worker and the other runs by worker. A run that is lost with its
+    worker ends with it."""
+    events = [(at, 1, task, number, worker)
+              for at, task, number, worker in deployment.starts]
+    # Of an end and a start at the same moment, the end counts first.
+    events += [(at, 0, task, number, worker)
+               for at, task, number, worker, _ in deployment.finished]
+    running, doubled = {}, []
+    for _, begins, task, number, worker in sorted(events):
+        runs = running.setdefault(task, {})
+        if not begins:
+            runs.pop(worker, None)
+            continue
+        if runs:
+            doubled.append((task, number, worker, dict(runs)))
+        runs[worker] = number
+    return doubled
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -46,6 +46,8 @@
 RESTART_DELAY_S = 0.5
 # Pings move on to the next node after this time without an answer.
 PING_TIMEOUT_S = 1.0
+# Another writer counts its pings on its own.
+OTHER_SEQUENCE = 100000
 
 
 class CannotRun(Exception):
@@ -587,6 +589,23 @@
                          status=status, answer=json.dumps(answer))
         return status, answer
 
+    def ping_from_another_writer(self, worker, address=None):
+        """A ping under the worker's id that lacks the field `capacity`; with
+        `address`, if given, as the other writer's own."""
+        body = dict(worker.report(), seq=OTHER_SEQUENCE)
+        body["address"] = address or worker.address
+        del body["capacity"]
+        for node in random.sample(self.controls(), 3):
+            status, answer = call(
+                node, "PUT", f"/instances/{worker.name}", body,
+                {"Content-Type": "application/json"}, PING_TIMEOUT_S,
+            )
+            self.record.line("other_writer", worker=worker.name, node=node,
+                             status=status, answer=json.dumps(answer),
+                             body=json.dumps(body))
+            if status is not None and status < 500:
+                break
+
     def note_start(self, worker, task, number):
         with self.lock:
             self.at_work[(task, worker.name)] = number
