--- a/review/common-2/checks.py
+++ b/review/common-2/checks.py
@@ -132,3 +132,37 @@
             doubled.append((task, number, worker, dict(runs)))
         runs[worker] = number
     return doubled
+
+
+def longest_waits(deployment, jobs, task_cpu, seconds):
+    """Watches jobs of one task for so long. Returns by job the longest span in
+    which it hadn't ended and had nothing running, while some worker had room
+    for its task twice over and under half of all capacity was in use."""
+    until = time.monotonic() + seconds
+    began, longest = {}, dict.fromkeys(jobs, 0.0)
+    while time.monotonic() < until:
+        now = time.monotonic()
+        workers = [each for each in deployment.workers if each.alive]
+        used = {each.name: 0 for each in workers}
+        for each in workers:
+            with each.lock:
+                used[each.name] = sum(r.cpu for r in each.running.values())
+        room = any(each.cpu - used[each.name] >= 2 * task_cpu
+                   for each in workers)
+        half = sum(each.cpu for each in workers) / 2
+        free = room and sum(used.values()) < half
+        with deployment.lock:
+            at_work = {task.split(".")[0] for task, _ in deployment.at_work}
+            ended = {task.split(".")[0]
+                     for _, task, _, _, how in deployment.finished
+                     if how == "done"}
+        for job in jobs:
+            if not free or job in at_work or job in ended:
+                began.pop(job, None)
+                continue
+            began.setdefault(job, now)
+            longest[job] = max(longest[job], now - began[job])
+        time.sleep(0.02)
+    deployment.record.line("watched", seconds=seconds,
+                           longest_wait=f"{max(longest.values()):.2f}")
+    return longest
