Take a run for lost only once all earlier ends are known

The worker had been out of reach for 0.55 s, less than its lease, and more than 500 of its tasks had ended meanwhile.

Cause: a worker lists its ends 500 at a time. A run that an answer listed neither as running nor as ended was dropped and its task queued, though its end could follow with the next list.

Fix: a run that is absent from an answer is dropped only if all ends from before that answer are known: an answer lists no end at all, or an end is listed whose run still existed at a later moment of the worker's clock. Ends are numbered in their order and the lowest come first, so neither fact depends on how long a list may be.

A rule "a list of 500 is not whole" was weighed: it needs the number, and a worker that cuts its lists elsewhere would break it unnoticed.

`run_missing` logs the evidence (ends listed, clocks, run); `ends_may_be_hidden` and a counter show answers that leave a run open.

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -339,6 +339,11 @@
   void handleHoldAnswer(const WorkerId &Worker, const Sent &Order,
                         const Outcome<HoldAnswer> &Answer);
   void applyAnswer(WorkerSession &Session, Time Sent, const HoldAnswer &Answer);
+  void logMissing(const WorkerSession &Session, const HoldAnswer &Answer,
+                  const HoldFindings &Findings);
+  /// Queries the worker once more if a decision waits for ends that it may not
+  /// have listed yet.
+  void queryHiddenEnds(WorkerSession &Session, const HoldFindings &Findings);
   /// Whether the answer is from the incarnation of the session. One of a later
   /// incarnation begins a session for that one; nothing of it is applied.
   bool isOfSession(WorkerSession &Session, const HoldAnswer &Answer);
--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -189,7 +189,7 @@
   if (Answer.Result == StartResult::Started) {
     Found->second.Confirmed = true;
     if (Answer.Clock)
-      Found->second.ListedAfter = *Answer.Clock;
+      Found->second.ListedAfter = Found->second.ExistedAt = *Answer.Clock;
     return;
   }
   logEvent(LogLevel::Warning, Module, "start_failed",
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -24,12 +24,8 @@
 /// Well above the few milliseconds in which a worker answers an order.
 constexpr Duration UsualAnswerTime = std::chrono::milliseconds(50);
 
-bool lists(const std::vector<RunningTask> &Running, const TaskId &Task,
-           RunNumber Number) {
-  return std::any_of(Running.begin(), Running.end(),
-                     [&](const RunningTask &Each) {
-                       return Each.Run == Number && Each.Task == Task;
-                     });
+void noteEndsKnown(WorkerSession &Session, WorkerMillis Before) {
+  Session.EndsKnownBefore = std::max(Session.EndsKnownBefore, Before);
 }
 
 void applyEnds(WorkerSession &Session, const HoldAnswer &Answer,
@@ -41,6 +37,9 @@
     auto Found = Session.Runs.find(End.Task);
     if (Found == Session.Runs.end() || Found->second.Number > End.Run)
       continue;
+    // The ends before the run still existed have lower numbers.
+    if (Found->second.Number == End.Run)
+      noteEndsKnown(Session, Found->second.ExistedAt);
     if (Found->second.Number == End.Run && !Found->second.Adopted)
       Out.RunTimings[End.Task] = {Now - Found->second.Since,
                                   Found->second.Expected};
@@ -59,17 +58,36 @@
       continue;
     }
     Found->second.Confirmed = true;
+    Found->second.ExistedAt = Answer.Clock;
+    Found->second.AbsentSince.reset();
   }
 }
 
-void dropMissing(WorkerSession &Session, const HoldAnswer &Answer,
-                 HoldFindings &Out) {
-  for (const auto &[Task, Existing] : Session.Runs)
-    if (Answer.Clock > Existing.ListedAfter &&
-        !lists(Answer.Running, Task, Existing.Number))
-      Out.Missing.push_back(Task);
-  for (const TaskId &Task : Out.Missing)
-    removeRun(Session, Task);
+/// Notes the runs that an answer with all running tasks does not list.
+void noteAbsentRuns(WorkerSession &Session, WorkerMillis ListedAt,
+                    HoldFindings &Out) {
+  for (auto &[Task, Each] : Session.Runs) {
+    if (ListedAt <= Each.ListedAfter || ListedAt <= Each.ExistedAt ||
+        Each.AbsentSince)
+      continue;
+    Each.AbsentSince = ListedAt;
+    ++Out.NewlyAbsent;
+  }
+}
+
+/// Drops the runs that the worker does not list if all ends from before are
+/// known. \p AllEndsKnown: also those from before this answer.
+void dropMissing(WorkerSession &Session, bool AllEndsKnown, HoldFindings &Out) {
+  for (const auto &[Task, Each] : Session.Runs) {
+    if (!Each.AbsentSince)
+      continue;
+    if (AllEndsKnown || *Each.AbsentSince < Session.EndsKnownBefore)
+      Out.Missing.push_back({Task, Each.Number, *Each.AbsentSince});
+    else
+      ++Out.MaybeEnded;
+  }
+  for (const MissingRun &Each : Out.Missing)
+    removeRun(Session, Each.Task);
 }
 
 } // namespace
@@ -140,6 +158,9 @@
     // Excluded from the pace; its stop is repeated with each hold answer.
     Each.Stopping = true;
     Each.ListedAfter = WorkerMillis(INT64_MAX);
+    // Readings of the earlier incarnation's clock.
+    Each.ExistedAt = WorkerMillis();
+    Each.AbsentSince.reset();
   }
   Session = std::move(New);
 }
@@ -339,11 +360,15 @@
   HoldFindings Out;
   Out.Current = noteClock(Session, Answer.Clock, Now);
   applyEnds(Session, Answer, Out, Now);
-  if (!Out.Current)
-    return Out;
-  applyRunning(Session, Answer, Out);
-  if (!Answer.Partial)
-    dropMissing(Session, Answer, Out);
+  // A worker that has ends that were not acknowledged lists at least one.
+  if (Answer.Ended.empty())
+    noteEndsKnown(Session, Answer.Clock);
+  if (Out.Current)
+    applyRunning(Session, Answer, Out);
+  bool ListsRuns = Out.Current && !Answer.Partial;
+  if (ListsRuns)
+    noteAbsentRuns(Session, Answer.Clock, Out);
+  dropMissing(Session, ListsRuns && Answer.Ended.empty(), Out);
   return Out;
 }
 
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -10,6 +10,15 @@
 // moment shows whether it was. A worker that does not answer has killed all its
 // tasks once the last lease that it may have received has expired.
 //
+// An answer lists all running tasks, but possibly not all ends: a worker cuts a
+// long list off. A run that is missing from both lists has ended or never
+// existed, and which of the two shows only once all ends from before that
+// answer are known. They are known
+// - if an answer lists no end at all, or
+// - if an end is listed whose run still existed at a later moment: ends are
+//   numbered in their order, and the lowest are listed first.
+// This needs no limit of the list's length.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef GERANIUMBAY_JOBS_INTERNAL_WORKERSESSION_H
@@ -48,6 +57,12 @@
   /// may still carry out the order, so the run counts as existing until a stop
   /// of it is confirmed.
   bool Revoking = false;
+  /// The latest moment of the worker's clock at which it reported the run as
+  /// existing; 0 if it never did.
+  WorkerMillis ExistedAt{};
+  /// The moment of the first answer that should list the run if it existed and
+  /// does not. Its end may not have been listed yet.
+  std::optional<WorkerMillis> AbsentSince{};
 };
 
 /// Identifies a batch of ends of one worker; counted by the scheduler.
@@ -70,8 +85,12 @@
   /// since, the estimate would run ahead of its clock.
   WorkerMillis ClockReading;
   Time ClockReadAt;
+  /// All ends from before this moment of the worker's clock are processed.
+  WorkerMillis EndsKnownBefore;
   /// It has answered a hold of this scheduler, so all of its runs are known.
   bool RunsKnown = false;
+  /// A query for ends that may be hidden is on its way or due.
+  bool EndsQueryPending = false;
   /// The last hold failed: no task is started and no lease renewed until a hold
   /// succeeds.
   bool Silent = false;
@@ -297,6 +316,14 @@
   Duration Expected{0};
 };
 
+/// A run that never existed, or that ended without its end being listed.
+struct MissingRun {
+  TaskId Task;
+  RunNumber Number;
+  /// When the worker first did not list it, by its clock.
+  WorkerMillis AbsentSince;
+};
+
 /// The consequences of a hold answer.
 struct HoldFindings {
   /// The answer is not older than any applied before. From an older one only
@@ -309,7 +336,11 @@
   /// Tasks that run there but are not in the session.
   std::vector<RunningTask> Found;
   /// Runs that proved not to exist. They have been removed from the session.
-  std::vector<TaskId> Missing;
+  std::vector<MissingRun> Missing;
+  /// How many runs the worker does not list, but may have ended, and how many
+  /// runs it did not list for the first time.
+  std::size_t MaybeEnded = 0;
+  std::size_t NewlyAbsent = 0;
 };
 
 /// Applies a hold answer: removes runs that have ended or do not exist, and
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -234,10 +234,30 @@
       });
 }
 
+void Scheduler::queryHiddenEnds(WorkerSession &Session,
+                                const HoldFindings &Findings) {
+  if (Findings.MaybeEnded == 0 || Session.EndsQueryPending)
+    return;
+  Session.EndsQueryPending = true;
+  // Without new ends the next answer would be the same for a while.
+  Duration Pause = Findings.Ended.empty() ? RecordingPause : Duration(0);
+  Deps_.Timers.after(
+      Pause, [this, Alive = Alive_, Worker = Session.Info.Worker] {
+        WorkerSession *Current = *Alive ? session(Worker) : nullptr;
+        if (!Current)
+          return;
+        Current->EndsQueryPending = false;
+        queryRuns(*Current);
+      });
+}
+
 void Scheduler::applyAnswer(WorkerSession &Session, Time Sent,
                             const HoldAnswer &Answer) {
+  bool NewlyReachable = !Session.RunsKnown || Session.Silent;
   HoldFindings Findings = applyHoldAnswer(Session, Answer, Deps_.Clock.now());
-  applyFindings(Session, Findings, !Session.RunsKnown || Session.Silent);
+  logMissing(Session, Answer, Findings);
+  applyFindings(Session, Findings, NewlyReachable);
+  queryHiddenEnds(Session, Findings);
   if (!Findings.Current)
     return;
   Session.LastAnsweredSentAt = std::max(Session.LastAnsweredSentAt, Sent);
@@ -320,6 +340,36 @@
   });
 }
 
+void Scheduler::logMissing(const WorkerSession &Session,
+                           const HoldAnswer &Answer,
+                           const HoldFindings &Findings) {
+  for (const MissingRun &Each : Findings.Missing)
+    logEvent(LogLevel::Warning, Module, "run_missing",
+             {{"job", Each.Task.Job},
+              {"step", Each.Task.Step},
+              {"index", Each.Task.Index},
+              {"run", Each.Number.value()},
+              {"worker", Session.Info.Worker},
+              {"absent_since", Each.AbsentSince.value()},
+              {"worker_clock", Answer.Clock.value()},
+              {"ends_listed", Answer.Ended.size()},
+              {"last_end", Session.LastProcessedEnd},
+              {"ends_known_before", Session.EndsKnownBefore.value()}});
+  if (Findings.MaybeEnded == 0 || Findings.NewlyAbsent == 0)
+    return;
+  Deps_.Measured.count("geraniumbay_answers_with_hidden_ends_total",
+                       "Answers of workers that list some run neither as "
+                       "running nor as ended, while its end may follow.",
+                       {});
+  logEvent(LogLevel::Info, Module, "ends_may_be_hidden",
+           {{"worker", Session.Info.Worker},
+            {"runs", Findings.MaybeEnded},
+            {"worker_clock", Answer.Clock.value()},
+            {"ends_listed", Answer.Ended.size()},
+            {"last_end", Session.LastProcessedEnd},
+            {"ends_known_before", Session.EndsKnownBefore.value()}});
+}
+
 void Scheduler::applyFindings(WorkerSession &Session,
                               const HoldFindings &Findings,
                               bool NewlyReachable) {
@@ -341,14 +391,9 @@
     if (End.Kind == EndKind::Other)
       enqueue(End.Task);
   }
-  for (const TaskId &Task : Findings.Missing) {
-    logEvent(LogLevel::Warning, Module, "run_missing",
-             {{"job", Task.Job},
-              {"step", Task.Step},
-              {"index", Task.Index},
-              {"worker", Session.Info.Worker}});
-    Places_.erase(Task);
-    enqueue(Task);
+  for (const MissingRun &Each : Findings.Missing) {
+    Places_.erase(Each.Task);
+    enqueue(Each.Task);
   }
   for (const RunningTask &Task : Findings.Found)
     handleFoundRun(Session, Task, NewlyReachable);
@@ -452,6 +497,7 @@
   for (auto &[Task, Each] : Kept) {
     Each.Revoking = Each.Stopping = true;
     Each.ListedAfter = WorkerMillis(INT64_MAX);
+    Each.AbsentSince.reset();
     addRun(Session, Task, Each);
   }
   if (!Kept.empty() && !Session.RevokeAgainAt)
--- a/src/jobs/iworkercalls.h
+++ b/src/jobs/iworkercalls.h
@@ -114,6 +114,8 @@
   /// The start of the process that answered.
   WorkerStart StartedAt;
   std::vector<RunningTask> Running;
+  /// Ends that were not acknowledged, by rising numbers from the lowest on.
+  /// The worker may leave out any number of the highest, but not all.
   std::vector<EndedTask> Ended;
   /// Some of the running tasks could not be read, so tasks that are not listed
   /// may run.
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -226,7 +226,11 @@
   Answer.StartedAt = Target.Info.StartedAt;
   for (const auto &[Task, Each] : Target.Tasks)
     Answer.Running.push_back({Task, Each.Number});
-  Answer.Ended = Target.Ends;
+  std::size_t Listed = std::min(Target.Ends.size(), EndsPerAnswer);
+  Answer.Ended.assign(Target.Ends.begin(),
+                      Target.Ends.begin() +
+                          static_cast<std::ptrdiff_t>(Listed));
+  LongestList = std::max(LongestList, Listed);
   return Answer;
 }
 
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -55,6 +55,9 @@
   bool KeepIds = false;
   /// Workers on which every task fails at once.
   std::set<WorkerId> Broken;
+  /// The most ends that a hold answer lists, lowest first. The platform's
+  /// workers list this many.
+  std::size_t EndsPerAnswer = 500;
   Random Rng{1};
 
   // Observations.
@@ -79,6 +82,8 @@
   std::size_t running() const;
   /// How many ends were not acknowledged yet.
   std::size_t unacknowledgedEnds() const;
+  /// The most ends that a hold answer has listed.
+  std::size_t LongestList = 0;
 
   /// Ends the worker's process; it comes back after CrashDown.
   void crash(const WorkerId &Id) { crash(Workers_[Id]); }
