Take an earlier owner's runs for known only with all ends from before

What callers would see: an owner or leader that follows another starts tasks again whose ends a worker had not listed yet.

A session counted all runs of its worker as known with the first answer, also one whose list of ends was cut off or whose list of running tasks could not be read. A take-over starts what no worker lists, and a job that may run under another owner is released once all workers have answered.

Fix: a session keeps the oldest list of running tasks whose ends are not all known, and counts its worker's runs as known once they are.

--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -90,6 +90,13 @@
     removeRun(Session, Each.Task);
 }
 
+/// Records the moment of \p List as one of which all runs are known.
+void noteRunsKnown(WorkerSession &Session, const WorkerSession::RunList &List) {
+  Session.RunsKnown = true;
+  Session.RunsKnownSentAt = std::max(Session.RunsKnownSentAt, List.SentAt);
+  Session.UnprovenList.reset();
+}
+
 } // namespace
 
 const char *startResultName(StartResult Result) {
@@ -356,7 +363,7 @@
 }
 
 HoldFindings applyHoldAnswer(WorkerSession &Session, const HoldAnswer &Answer,
-                             Time Now) {
+                             Time SentAt, Time Now) {
   HoldFindings Out;
   Out.Current = noteClock(Session, Answer.Clock, Now);
   applyEnds(Session, Answer, Out, Now);
@@ -368,7 +375,15 @@
   bool ListsRuns = Out.Current && !Answer.Partial;
   if (ListsRuns)
     noteAbsentRuns(Session, Answer.Clock, Out);
-  dropMissing(Session, ListsRuns && Answer.Ended.empty(), Out);
+  bool AllKnown = ListsRuns && Answer.Ended.empty();
+  dropMissing(Session, AllKnown, Out);
+  if (Session.UnprovenList &&
+      Session.UnprovenList->Clock < Session.EndsKnownBefore)
+    noteRunsKnown(Session, *Session.UnprovenList);
+  if (AllKnown)
+    noteRunsKnown(Session, {Answer.Clock, SentAt});
+  else if (ListsRuns && !Session.UnprovenList)
+    Session.UnprovenList = {Answer.Clock, SentAt};
   return Out;
 }
 
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -87,8 +87,20 @@
   Time ClockReadAt;
   /// All ends from before this moment of the worker's clock are processed.
   WorkerMillis EndsKnownBefore;
-  /// It has answered a hold of this scheduler, so all of its runs are known.
+  /// A moment at which the worker listed all of its running tasks, and the send
+  /// time of the hold or query that it answered.
+  struct RunList {
+    WorkerMillis Clock;
+    Time SentAt;
+  };
+  /// The oldest such list from a moment of which the ends are not known yet.
+  std::optional<RunList> UnprovenList;
+  /// What it ran and ended at some moment under this scheduler is known, so
+  /// nothing that an earlier owner left there is unknown.
   bool RunsKnown = false;
+  /// The same is known of the moment at which it answered a hold or query that
+  /// was sent then.
+  Time RunsKnownSentAt;
   /// A query for ends that may be hidden is on its way or due.
   bool EndsQueryPending = false;
   /// The last hold failed: no task is started and no lease renewed until a hold
@@ -345,8 +357,9 @@
 
 /// Applies a hold answer: removes runs that have ended or do not exist, and
 /// confirms those that run. Ends that were applied before are skipped.
+/// \p SentAt: when the hold or query that it answers was sent.
 HoldFindings applyHoldAnswer(WorkerSession &Session, const HoldAnswer &Answer,
-                             Time Now);
+                             Time SentAt, Time Now);
 
 } // namespace geraniumbay::jobs
 
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -236,7 +236,9 @@
 
 void Scheduler::queryHiddenEnds(WorkerSession &Session,
                                 const HoldFindings &Findings) {
-  if (Findings.MaybeEnded == 0 || Session.EndsQueryPending)
+  bool Awaited =
+      Findings.MaybeEnded != 0 || (Session.UnprovenList && !Unsettled_.empty());
+  if (!Awaited || Session.EndsQueryPending)
     return;
   Session.EndsQueryPending = true;
   // Without new ends the next answer would be the same for a while.
@@ -254,14 +256,14 @@
 void Scheduler::applyAnswer(WorkerSession &Session, Time Sent,
                             const HoldAnswer &Answer) {
   bool NewlyReachable = !Session.RunsKnown || Session.Silent;
-  HoldFindings Findings = applyHoldAnswer(Session, Answer, Deps_.Clock.now());
+  HoldFindings Findings =
+      applyHoldAnswer(Session, Answer, Sent, Deps_.Clock.now());
   logMissing(Session, Answer, Findings);
   applyFindings(Session, Findings, NewlyReachable);
   queryHiddenEnds(Session, Findings);
   if (!Findings.Current)
     return;
   Session.LastAnsweredSentAt = std::max(Session.LastAnsweredSentAt, Sent);
-  Session.RunsKnown = true;
   if (Session.Silent)
     logEvent(LogLevel::Info, Module, "worker_answers",
              {{"worker", Session.Info.Worker}});
--- a/src/jobs/tests/hiddenendstest.cpp
+++ b/src/jobs/tests/hiddenendstest.cpp
@@ -3,7 +3,7 @@
 // A worker lists a limited number of ends in an answer, the lowest first, so
 // the end of a run that it lists neither as running nor as ended may follow
 // with a later answer. Such a run must not be taken for lost. Here many tasks
-// end while their worker is out of reach.
+// end while their worker is out of reach, or while their owner changes.
 //
 //===----------------------------------------------------------------------===//
 
@@ -39,6 +39,12 @@
               });
   }
 
+  void resend(Scheduler &Owner, std::uint32_t Tasks) {
+    TransientRequest Again;
+    Again.MaybeTaken = true;
+    submit(Owner, Tasks, Again);
+  }
+
   /// Starts \p Tasks at the large worker, from when on the other one has as
   /// much room.
   void startAll(Scheduler &Owner, std::uint32_t Tasks, bool Transient) {
@@ -106,6 +112,36 @@
   EXPECT_TRUE(Completed_);
 }
 
+// Guards against a next owner that starts what it doesn't find in the first
+// list of a worker.
+TEST_P(HiddenEndsOf, StoredTasksDoNotStartAgainAtTheNextOwner) {
+  auto Earlier = owner(1, true, {Large_, Other_});
+  startAll(*Earlier, GetParam(), false);
+  run(280ms);
+  Earlier.reset();
+  run(200ms);
+  ASSERT_EQ(Workers.running(), 0U);
+  auto Next = owner(2, true, {Large_, Other_});
+  run(2s);
+  expectOneRunEach(GetParam());
+  EXPECT_TRUE(storedCompleted());
+}
+
+// The same with a job that its caller sends to the next owner.
+TEST_P(HiddenEndsOf, TransientTasksDoNotStartAgainAtTheNextOwner) {
+  auto Earlier = owner(1, true, {Large_, Other_});
+  startAll(*Earlier, GetParam(), true);
+  run(280ms);
+  Earlier.reset();
+  run(200ms);
+  ASSERT_EQ(Workers.running(), 0U);
+  auto Next = owner(2, true, {Large_, Other_});
+  resend(*Next, GetParam());
+  run(2s);
+  expectOneRunEach(GetParam());
+  EXPECT_TRUE(Completed_);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, HiddenEndsOf,
                          testing::Values(499, 500, 501, 1001));
 
--- a/src/jobs/tests/workersessiontest.cpp
+++ b/src/jobs/tests/workersessiontest.cpp
@@ -37,9 +37,11 @@
 
 TEST(WorkerSessionTest, AStartWithoutAnAnswerIsGivenUpOnlyAfterItsLease) {
   WorkerSession Session = sessionWith(First, 2000);
-  EXPECT_TRUE(applyHoldAnswer(Session, answerAt(2000), Now).Missing.empty());
+  EXPECT_TRUE(
+      applyHoldAnswer(Session, answerAt(2000), Now, Now).Missing.empty());
   EXPECT_EQ(Session.Used.CpuMillis, 1000U);
-  EXPECT_EQ(applyHoldAnswer(Session, answerAt(2001), Now).Missing.size(), 1U);
+  EXPECT_EQ(applyHoldAnswer(Session, answerAt(2001), Now, Now).Missing.size(),
+            1U);
   EXPECT_EQ(Session.Used.CpuMillis, 0U);
 }
 
@@ -47,9 +49,9 @@
   WorkerSession Session = sessionWith(First, 2000);
   HoldAnswer Answer = answerAt(1500);
   Answer.Ended.push_back({1, First, RunNumber(1), EndKind::Done});
-  EXPECT_EQ(applyHoldAnswer(Session, Answer, Now).Ended.size(), 1U);
+  EXPECT_EQ(applyHoldAnswer(Session, Answer, Now, Now).Ended.size(), 1U);
   EXPECT_TRUE(Session.Runs.empty());
-  EXPECT_TRUE(applyHoldAnswer(Session, Answer, Now).Ended.empty());
+  EXPECT_TRUE(applyHoldAnswer(Session, Answer, Now, Now).Ended.empty());
 }
 
 TEST(WorkerSessionTest, TheEndOfAnEarlierRunLeavesALaterOne) {
@@ -61,7 +63,7 @@
   HoldAnswer Answer = answerAt(1500);
   Answer.Ended.push_back({1, First, RunNumber(1), EndKind::Other});
   Answer.Running.push_back({First, RunNumber(2)});
-  applyHoldAnswer(Session, Answer, Now);
+  applyHoldAnswer(Session, Answer, Now, Now);
   EXPECT_EQ(Session.Runs.size(), 1U);
 }
 
@@ -72,10 +74,10 @@
   HoldAnswer Newer = answerAt(3000);
   Newer.Running.push_back({First, RunNumber(1)});
   Newer.Running.push_back({Second, RunNumber(1)});
-  HoldFindings Found = applyHoldAnswer(Session, Newer, Now);
+  HoldFindings Found = applyHoldAnswer(Session, Newer, Now, Now);
   EXPECT_TRUE(Found.Current);
   EXPECT_EQ(Found.Found.size(), 1U);
-  HoldFindings Old = applyHoldAnswer(Session, answerAt(2500), Now);
+  HoldFindings Old = applyHoldAnswer(Session, answerAt(2500), Now, Now);
   EXPECT_FALSE(Old.Current);
   EXPECT_TRUE(Old.Missing.empty());
   EXPECT_EQ(Session.Runs.size(), 1U);
@@ -95,7 +97,7 @@
 TEST(WorkerSessionTest, ALateStartCorrectsALaggingClockEstimate) {
   WorkerSession Session = sessionWith(First, 0);
   LeaseSettings Settings;
-  applyHoldAnswer(Session, answerAt(1010), Now + 300ms);
+  applyHoldAnswer(Session, answerAt(1010), Now + 300ms, Now + 300ms);
   EXPECT_EQ(leaseUntil(Session, Settings, 60ms, Now + 300ms),
             WorkerMillis(1070));
   noteClockReading(Session, WorkerMillis(1302), Now + 303ms);
@@ -117,7 +119,8 @@
   EXPECT_EQ(leaseUntil(Session, LeaseSettings(), 60ms, Now + 10ms),
             WorkerMillis(1560));
   // Hold answers are ordered by their own readings only.
-  EXPECT_TRUE(applyHoldAnswer(Session, answerAt(1400), Now + 20ms).Current);
+  EXPECT_TRUE(
+      applyHoldAnswer(Session, answerAt(1400), Now + 20ms, Now + 20ms).Current);
 }
 
 TEST(WorkerSessionTest, RunsMissingFromAPartialAnswerAreKept) {
@@ -126,10 +129,10 @@
   HoldAnswer Answer;
   Answer.Clock = WorkerMillis(2000);
   Answer.Partial = true;
-  EXPECT_TRUE(applyHoldAnswer(Session, Answer, Now).Missing.empty());
+  EXPECT_TRUE(applyHoldAnswer(Session, Answer, Now, Now).Missing.empty());
   Answer.Clock = WorkerMillis(2001);
   Answer.Partial = false;
-  EXPECT_EQ(applyHoldAnswer(Session, Answer, Now).Missing.size(), 1U);
+  EXPECT_EQ(applyHoldAnswer(Session, Answer, Now, Now).Missing.size(), 1U);
 }
 
 } // namespace
