Count an answer with an end that can't be read as none

What callers would see: a task runs again after it has ended.

Cause: an entry of `finished` that could not be read was left out, while the ends beside it were applied. Its run was then taken for lost, and the next hold acknowledged the end with a later one. An unknown name of how a run ended was taken for a stop.

Fix: such an answer counts as no answer. The worker's lease is not renewed, nothing is acknowledged, and its tasks start elsewhere once the lease is over, unless a whole answer comes before. It is no sign of a crash.

--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -42,10 +42,13 @@
   return MayHaveRestarted ? 0 : lastRecordedEnd(Session);
 }
 
-/// Classifies the loss of a worker whose hold failed with \p Failure.
+/// Classifies the loss of a worker whose hold failed with \p Failure. An
+/// answer that can't be read does not show that the worker has crashed.
 scheduling::WorkerLoss lossOf(const Error &Failure) {
-  return Failure.Code == ErrorCode::Timeout ? scheduling::WorkerLoss::Silent
-                                            : scheduling::WorkerLoss::Refused;
+  bool Silent = Failure.Code == ErrorCode::Timeout ||
+                Failure.Code == ErrorCode::InvalidArgument;
+  return Silent ? scheduling::WorkerLoss::Silent
+                : scheduling::WorkerLoss::Refused;
 }
 
 } // namespace
