Ask a worker without a pause only while it brings more ends

Until its runs are known a worker's holds carry no lease and are answered at once. The next hold is left to the tick of 50 ms unless the last answer brought new ends; a commit of ends sends one too. HiddenEnds.AnUnreadableListProvesNothingAndIsNotAskedForAtOnce checks the number of holds and that no next owner takes over by such an answer.

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -338,7 +338,8 @@
                  std::function<void()> OnAnswer = nullptr);
   void handleHoldAnswer(const WorkerId &Worker, const Sent &Order,
                         const Outcome<HoldAnswer> &Answer);
-  void applyAnswer(WorkerSession &Session, Time Sent, const HoldAnswer &Answer);
+  /// Returns whether the answer brought new ends.
+  bool applyAnswer(WorkerSession &Session, Time Sent, const HoldAnswer &Answer);
   void logMissing(const WorkerSession &Session, const HoldAnswer &Answer,
                   const HoldFindings &Findings);
   /// Queries the worker once more if a decision waits for ends that it may not
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -256,7 +256,7 @@
       });
 }
 
-void Scheduler::applyAnswer(WorkerSession &Session, Time Sent,
+bool Scheduler::applyAnswer(WorkerSession &Session, Time Sent,
                             const HoldAnswer &Answer) {
   bool NewlyReachable = !Session.RunsKnown || Session.Silent;
   HoldFindings Findings =
@@ -264,8 +264,9 @@
   logMissing(Session, Answer, Findings);
   applyFindings(Session, Findings, NewlyReachable);
   queryHiddenEnds(Session, Findings);
+  bool HasNewEnds = !Findings.Ended.empty();
   if (!Findings.Current)
-    return;
+    return HasNewEnds;
   Session.LastAnsweredSentAt = std::max(Session.LastAnsweredSentAt, Sent);
   if (Session.Silent)
     logEvent(LogLevel::Info, Module, "worker_answers",
@@ -282,6 +283,7 @@
     Session.HasForeignRuns = Session.HasForeignRuns || !Renewed;
   }
   takeOverIfAllKnown();
+  return HasNewEnds;
 }
 
 void Scheduler::handleHoldAnswer(const WorkerId &Worker, const Sent &Order,
@@ -322,18 +324,20 @@
   }
   if (!isOfSession(*Session, *Answer))
     return;
-  applyAnswer(*Session, Order.At, *Answer);
+  bool HasNewEnds = applyAnswer(*Session, Order.At, *Answer);
   if (Order.Renews)
     Session->RenewedAt =
         std::max(Session->RenewedAt.value_or(Time()), Order.At);
   if (!Latest)
     return scheduleSoon();
   // A hold without a lease is answered at once, so the next one is left to the
-  // tick.
-  if (!isRecordingEnds(*Session) && !Session->HasForeignRuns)
-    sendHold(*Session);
-  else if (!Session->HasForeignRuns)
+  // tick unless it will bring more ends.
+  bool LeftToTick =
+      Session->HasForeignRuns || (!Session->RunsKnown && !HasNewEnds);
+  if (!LeftToTick && isRecordingEnds(*Session))
     sendHoldLater(Worker);
+  else if (!LeftToTick)
+    sendHold(*Session);
   scheduleSoon();
 }
 
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -231,6 +231,8 @@
                       Target.Ends.begin() +
                           static_cast<std::ptrdiff_t>(Listed));
   LongestList = std::max(LongestList, Listed);
+  Answer.Partial = PartialAnswers;
+  ++HoldsAnswered;
   return Answer;
 }
 
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -58,6 +58,8 @@
   /// The most ends that a hold answer lists, lowest first. The platform's
   /// workers list this many.
   std::size_t EndsPerAnswer = 500;
+  /// Hold answers are partial, as if a running task could not be read.
+  bool PartialAnswers = false;
   Random Rng{1};
 
   // Observations.
@@ -84,6 +86,7 @@
   std::size_t unacknowledgedEnds() const;
   /// The most ends that a hold answer has listed.
   std::size_t LongestList = 0;
+  std::uint64_t HoldsAnswered = 0;
 
   /// Ends the worker's process; it comes back after CrashDown.
   void crash(const WorkerId &Id) { crash(Workers_[Id]); }
--- a/src/jobs/tests/hiddenendstest.cpp
+++ b/src/jobs/tests/hiddenendstest.cpp
@@ -142,6 +142,26 @@
   EXPECT_TRUE(Completed_);
 }
 
+// Guards against a take-over by an answer that doesn't show what runs, and
+// against holds without a pause while that lasts.
+TEST_F(HiddenEnds, AnUnreadableListProvesNothingAndIsNotAskedForAtOnce) {
+  auto Earlier = owner(1, true, {Large_, Other_});
+  startAll(*Earlier, 10, false);
+  Earlier.reset();
+  Workers.PartialAnswers = true;
+  auto Next = owner(2, true, {Large_, Other_});
+  run(20ms);
+  EXPECT_EQ(Workers.Starts, 10U);
+  std::uint64_t Before = Workers.HoldsAnswered;
+  run(200ms);
+  // Two workers, asked at each tick of 50 ms.
+  EXPECT_LE(Workers.HoldsAnswered - Before, 10U);
+  Workers.PartialAnswers = false;
+  run(2s);
+  expectOneRunEach(10);
+  EXPECT_TRUE(storedCompleted());
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, HiddenEndsOf,
                          testing::Values(499, 500, 501, 1001));
 
