Renew the leases of an earlier owner's runs before its ends are read

Ends of stored tasks are listed until they are in the log, so with a slow log the lease of what still ran would lapse; after an answer that brought nothing new no hold was sent at all until the commit.

Leases concern running tasks, and those are known from the first list of all of them. So that list is enough for leases and for new work, and the proof that includes the ends is kept beside it (ProvenListSentAt), for the take-over and for jobs that may run elsewhere.

An answer without the list of ends is partial, like one without running tasks.

--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -311,7 +311,7 @@
   if (TakenOver_ || Sessions_.empty() || !Deps_.KnowsAllWorkers())
     return;
   for (const auto &[Worker, Session] : Sessions_)
-    if (!Session.RunsKnown || Session.HasForeignRuns)
+    if (!Session.ProvenListSentAt || Session.HasForeignRuns)
       return;
   takeOver();
 }
--- a/src/jobs/internal/transientjobs.cpp
+++ b/src/jobs/internal/transientjobs.cpp
@@ -198,7 +198,8 @@
   // An unknown worker may still run tasks of these jobs.
   Time LeastLooked = Deps_.KnowsAllWorkers() ? Now : Time();
   for (const auto &[Worker, Session] : Sessions_)
-    LeastLooked = std::min(LeastLooked, Session.RunsKnownSentAt);
+    LeastLooked =
+        std::min(LeastLooked, Session.ProvenListSentAt.value_or(Time()));
   std::vector<JobId> Settled;
   for (const auto &[Id, Each] : Unsettled_) {
     bool AllAnswered = !Each.HasRival && Each.Since < LeastLooked;
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -90,11 +90,18 @@
     removeRun(Session, Each.Task);
 }
 
-/// Records the moment of \p List as one of which all runs are known.
-void noteRunsKnown(WorkerSession &Session, const WorkerSession::RunList &List) {
+/// Notes a list of all running tasks. \p AllEndsKnown: also the ends from
+/// before it are known.
+void noteRunList(WorkerSession &Session, const WorkerSession::RunList &List,
+                 bool AllEndsKnown) {
   Session.RunsKnown = true;
-  Session.RunsKnownSentAt = std::max(Session.RunsKnownSentAt, List.SentAt);
-  Session.UnprovenList.reset();
+  if (AllEndsKnown) {
+    Session.ProvenListSentAt =
+        std::max(Session.ProvenListSentAt.value_or(Time()), List.SentAt);
+    Session.UnprovenList.reset();
+  } else if (!Session.UnprovenList) {
+    Session.UnprovenList = List;
+  }
 }
 
 } // namespace
@@ -368,22 +375,20 @@
   Out.Current = noteClock(Session, Answer.Clock, Now);
   applyEnds(Session, Answer, Out, Now);
   // A worker that has ends that were not acknowledged lists at least one.
-  if (Answer.Ended.empty())
+  bool ListsNoEnds = Answer.Ended.empty() && !Answer.Partial;
+  if (ListsNoEnds)
     noteEndsKnown(Session, Answer.Clock);
   if (Out.Current)
     applyRunning(Session, Answer, Out);
   bool ListsRuns = Out.Current && !Answer.Partial;
   if (ListsRuns)
     noteAbsentRuns(Session, Answer.Clock, Out);
-  bool AllKnown = ListsRuns && Answer.Ended.empty();
-  dropMissing(Session, AllKnown, Out);
-  if (Session.UnprovenList &&
-      Session.UnprovenList->Clock < Session.EndsKnownBefore)
-    noteRunsKnown(Session, *Session.UnprovenList);
-  if (AllKnown)
-    noteRunsKnown(Session, {Answer.Clock, SentAt});
-  else if (ListsRuns && !Session.UnprovenList)
-    Session.UnprovenList = {Answer.Clock, SentAt};
+  dropMissing(Session, Out.Current && ListsNoEnds, Out);
+  if (auto Earlier = Session.UnprovenList;
+      Earlier && Earlier->Clock < Session.EndsKnownBefore)
+    noteRunList(Session, *Earlier, true);
+  if (ListsRuns)
+    noteRunList(Session, {Answer.Clock, SentAt}, ListsNoEnds);
   return Out;
 }
 
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -95,12 +95,12 @@
   };
   /// The oldest such list from a moment of which the ends are not known yet.
   std::optional<RunList> UnprovenList;
-  /// What it ran and ended at some moment under this scheduler is known, so
-  /// nothing that an earlier owner left there is unknown.
+  /// It has listed all of its running tasks to this scheduler.
   bool RunsKnown = false;
-  /// The same is known of the moment at which it answered a hold or query that
-  /// was sent then.
-  Time RunsKnownSentAt;
+  /// Set once all runs of some moment under this scheduler are known, running
+  /// or ended, so that nothing that an earlier owner left there is unknown:
+  /// when the latest hold or query was sent that was answered at such a moment.
+  std::optional<Time> ProvenListSentAt;
   /// A query for ends that may be hidden is on its way or due.
   bool EndsQueryPending = false;
   /// The last hold failed: no task is started and no lease renewed until a hold
--- a/src/jobs/internal/workerwatch.cpp
+++ b/src/jobs/internal/workerwatch.cpp
@@ -197,7 +197,9 @@
   if (Session.RunsKnown && !Session.Silent && !Session.HasForeignRuns &&
       !MayHaveRestarted) {
     Order.LeaseUntil = leaseUntil(Session, Lease_, Lease_.LongestLease, Now);
-    Order.Wait = nextHoldWait(Session, Lease_, Timing_, Now);
+    // Ends of an earlier owner's runs may be left to read.
+    if (Session.ProvenListSentAt)
+      Order.Wait = nextHoldWait(Session, Lease_, Timing_, Now);
     noteLease(Session, Lease_, Lease_.LongestLease, Now);
   }
   Session.HoldInFlight = true;
@@ -330,13 +332,13 @@
         std::max(Session->RenewedAt.value_or(Time()), Order.At);
   if (!Latest)
     return scheduleSoon();
-  // A hold without a lease is answered at once, so the next one is left to the
-  // tick unless it will bring more ends.
-  bool LeftToTick =
-      Session->HasForeignRuns || (!Session->RunsKnown && !HasNewEnds);
-  if (!LeftToTick && isRecordingEnds(*Session))
+  // A hold that asks for no wait is answered at once, so the next one is left
+  // to the tick unless it will bring more ends.
+  if (Session->HasForeignRuns)
+    return scheduleSoon();
+  if (isRecordingEnds(*Session))
     sendHoldLater(Worker);
-  else if (!LeftToTick)
+  else if (Session->ProvenListSentAt || HasNewEnds)
     sendHold(*Session);
   scheduleSoon();
 }
--- a/src/jobs/iworkercalls.h
+++ b/src/jobs/iworkercalls.h
@@ -117,8 +117,8 @@
   /// Ends that were not acknowledged, by rising numbers from the lowest on.
   /// The worker may leave out any number of the highest, but not all.
   std::vector<EndedTask> Ended;
-  /// Some of the running tasks could not be read, so tasks that are not listed
-  /// may run.
+  /// A list is missing, or some of the running tasks could not be read: tasks
+  /// that are not listed may run or have ended.
   bool Partial = false;
 };
 
--- a/src/jobs/tests/controlfake.h
+++ b/src/jobs/tests/controlfake.h
@@ -53,6 +53,7 @@
   /// From now on batches are not committed, as at a leader that is cut off from
   /// the other members.
   void stall() { Stalled_ = true; }
+  bool hasStalledBatches() const { return !StalledBatches_.empty(); }
   /// Commits the oldest batch that was held back; the others stay.
   void commitOldest();
   /// Commits the batches that were held back, and later ones as they come.
--- a/src/jobs/tests/endrecordstest.cpp
+++ b/src/jobs/tests/endrecordstest.cpp
@@ -150,7 +150,9 @@
 /// off from the log, from a worker, or both, at any time.
 class EndRecordsPlay : private SchedulerSetup {
 public:
-  explicit EndRecordsPlay(std::uint64_t Seed) : Rng_(Seed) {
+  explicit EndRecordsPlay(std::uint64_t Seed, std::size_t EndsPerAnswer = 500)
+      : Rng_(Seed) {
+    Workers.EndsPerAnswer = EndsPerAnswer;
     Workers.TaskTime = 60ms;
     Workers.FailPercent = 10;
     Owner_ = owner(1, true, {First, Second});
@@ -241,5 +243,16 @@
   RC_ASSERT(Play.allAcceptedEnded());
 }
 
+// The same where workers list so few ends that most answers hide some.
+RC_GTEST_PROP(EndRecordsProperties, NoStoredTaskRunsAgainWhileItsEndIsHidden,
+              ()) {
+  EndRecordsPlay Play(*rc::gen::inRange<std::uint64_t>(1, 1'000'000),
+                      *rc::gen::inRange<std::size_t>(1, 4));
+  Play.play();
+  RC_ASSERT(!Play.repeatedStored());
+  RC_ASSERT(Play.accepted() > 0U);
+  RC_ASSERT(Play.allAcceptedEnded());
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
--- a/src/jobs/tests/workersessiontest.cpp
+++ b/src/jobs/tests/workersessiontest.cpp
@@ -135,5 +135,107 @@
   EXPECT_EQ(applyHoldAnswer(Session, Answer, Now, Now).Missing.size(), 1U);
 }
 
+/// A run that the worker neither lists as running nor as ended, beside another
+/// one that has ended.
+class AbsentRun : public testing::Test {
+protected:
+  AbsentRun() { Before_ = apply(answerWithEnd(2001)); }
+
+  HoldFindings apply(const HoldAnswer &Answer) {
+    return applyHoldAnswer(Session_, Answer, Now, Now);
+  }
+
+  /// An answer with the end of the other run, which is not acknowledged.
+  static HoldAnswer answerWithEnd(std::int64_t Clock) {
+    HoldAnswer Answer = answerAt(Clock);
+    Answer.Ended.push_back({1, Second, RunNumber(1), EndKind::Done});
+    return Answer;
+  }
+
+  /// The same with a third run, running or ended.
+  HoldAnswer answerWithThird(std::int64_t Clock, bool Ended) const {
+    HoldAnswer Answer = answerWithEnd(Clock);
+    if (Ended)
+      Answer.Ended.push_back({2, Third_, RunNumber(1), EndKind::Done});
+    else
+      Answer.Running.push_back({Third_, RunNumber(1)});
+    return Answer;
+  }
+
+  void startThird() {
+    addRun(Session_, Third_,
+           jobs::Run{RunNumber(1),
+                     {1000, 10, 0},
+                     Now,
+                     false,
+                     false,
+                     WorkerMillis(9000)});
+  }
+
+  const TaskId Third_{JobId("job"), 0, 2};
+  WorkerSession Session_ = sessionWith(First, 2000);
+  HoldFindings Before_;
+};
+
+// Guards against a run that is taken for lost while its end may follow in the
+// next list (review/4).
+TEST_F(AbsentRun, IsKeptWhileItsEndMayBeHidden) {
+  EXPECT_TRUE(Before_.Missing.empty());
+  EXPECT_EQ(Before_.MaybeEnded, 1U);
+  HoldAnswer Next = answerAt(2002);
+  Next.Ended.push_back({2, First, RunNumber(1), EndKind::Done});
+  HoldFindings After = apply(Next);
+  EXPECT_TRUE(After.Missing.empty());
+  EXPECT_EQ(After.Ended.size(), 1U);
+  EXPECT_TRUE(Session_.Runs.empty());
+}
+
+TEST_F(AbsentRun, IsMissingByAnAnswerWithoutEnds) {
+  HoldFindings After = apply(answerAt(2002));
+  ASSERT_EQ(After.Missing.size(), 1U);
+  EXPECT_EQ(After.Missing[0].AbsentSince, WorkerMillis(2001));
+  EXPECT_EQ(Session_.Used.CpuMillis, 0U);
+}
+
+// An answer that was overtaken tells nothing of what ended after it.
+TEST_F(AbsentRun, IsKeptAfterAnOutdatedAnswerWithoutEnds) {
+  EXPECT_TRUE(apply(answerAt(1999)).Missing.empty());
+  EXPECT_EQ(Session_.Runs.size(), 1U);
+}
+
+// A worker whose tasks end all the time never answers without ends.
+TEST_F(AbsentRun, IsMissingOnceARunHasEndedThatExistedLater) {
+  startThird();
+  EXPECT_TRUE(apply(answerWithThird(2002, false)).Missing.empty());
+  EXPECT_EQ(apply(answerWithThird(2003, true)).Missing.size(), 1U);
+}
+
+// Two readings of the same millisecond have no order.
+TEST_F(AbsentRun, IsKeptIfTheOtherRunExistedInTheSameMillisecond) {
+  startThird();
+  EXPECT_TRUE(apply(answerWithThird(2001, false)).Missing.empty());
+  EXPECT_TRUE(apply(answerWithThird(2003, true)).Missing.empty());
+  EXPECT_EQ(Session_.Runs.count(First), 1U);
+}
+
+// Guards against a take-over by a list of runs whose ends are not all known.
+// The lease of the runs may be renewed by then.
+TEST_F(AbsentRun, LeavesTheEndedRunsOfItsWorkerUnknown) {
+  EXPECT_TRUE(Session_.RunsKnown);
+  EXPECT_FALSE(Session_.ProvenListSentAt);
+  apply(answerAt(2002));
+  EXPECT_TRUE(Session_.ProvenListSentAt);
+}
+
+// Queries must prove something also while each answer lists ends.
+TEST_F(AbsentRun, TheRunsAreKnownAsOfTheOldestListThatIsProven) {
+  startThird();
+  applyHoldAnswer(Session_, answerWithThird(2002, false), Now + 5ms, Now + 5ms);
+  EXPECT_FALSE(Session_.ProvenListSentAt);
+  applyHoldAnswer(Session_, answerWithThird(2003, true), Now + 9ms, Now + 9ms);
+  ASSERT_TRUE(Session_.ProvenListSentAt);
+  EXPECT_EQ(*Session_.ProvenListSentAt, Now);
+}
+
 } // namespace
 } // namespace geraniumbay::jobs
