--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -25,6 +25,8 @@
 )
 BINARY = os.path.join(BUILD_DIR, "src/app/geraniumbay")
 MAX_LEASE_MS = 1000
+# A worker lists its lowest ends, this many at a time.
+ENDS_AT_A_TIME = 500
 # Workers have announced themselves this often when a test begins, so that one
 # that starts again needs minutes to pass the numbers of its earlier process.
 LONG_RUNNING_SEQUENCE = 1000
@@ -301,7 +303,8 @@
                             [task, run.number, "", 50]
                             for task, run in worker.running.items()
                         ]
-                        body["finished"] = list(worker.ends)
+                        limit = worker.fleet.ends_at_a_time
+                        body["finished"] = worker.ends[:limit]
                 return self.answer(status, body)
 
             def answer(self, status, body):
@@ -397,6 +400,7 @@
         self.runs = {}
         self.doubled = []
         self.starts = 0
+        self.ends_at_a_time = ENDS_AT_A_TIME
         self.port = self._free_ports()
         base = f"127.0.{random.randrange(20, 200)}."
         self.core = [
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -559,6 +559,10 @@
 def play(seed, args):
     """Plays one seed; returns what broke, and keeps the logs if any did."""
     fleet = SoakFleet(args.entries, args.workers)
+    # Drawn apart, so that the faults of a seed stay the same.
+    fleet.ends_at_a_time = random.Random(f"lists {seed}").choice(
+        (1, 3, standin.ENDS_AT_A_TIME)
+    )
     ledger = Ledger()
     faults = (Freezes if args.freezes else Faults)(fleet, seed)
     try:
