--- a/review/common-3/links.py
+++ b/review/common-3/links.py
@@ -36,6 +36,16 @@
     return None
 
 
+class Link:
+    """A connection to the machine `to`, opened from a loopback port."""
+
+    def __init__(self, to, port):
+        self.to = to
+        self.port = port
+        self.looked_up = False
+        self.opened_by = None
+
+
 class Links:
     """Proxies before some machines; cut() separates two of them."""
 
@@ -43,12 +53,7 @@
         self.loop = asyncio.new_event_loop()
         self.processes = lambda: {}
         self.cuts = set()
-        self.healed = None
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
-        asyncio.run_coroutine_threadsafe(self._prepare(), self.loop).result()
-
-    async def _prepare(self):
-        self.healed = asyncio.Condition()
 
     def add(self, name, listen, target):
         """Carries what reaches listen to target, the machine called name."""
@@ -59,15 +64,10 @@
     def cut(self, one, others):
         """Separates the machine one from all others, both ways."""
         for other in others:
-            self.cuts |= {(one, other), (other, one)}
+            self.cuts = self.cuts | {(one, other), (other, one)}
 
     def heal(self):
-        async def wake():
-            self.cuts.clear()
-            async with self.healed:
-                self.healed.notify_all()
-
-        asyncio.run_coroutine_threadsafe(wake(), self.loop).result()
+        self.cuts = set()
 
     async def _serve(self, name, listen, target):
         async def accept(reader, writer):
@@ -77,19 +77,17 @@
         await asyncio.start_server(accept, host, int(port))
 
     async def _carry(self, name, target, reader, writer):
-        pids = self.processes()
-        pid = opened_by(writer.get_extra_info("peername")[1], pids)
-        pair = (pids.get(pid), name)
+        link = Link(name, writer.get_extra_info("peername")[1])
         back_writer = None
         try:
-            await self._pass(pair)
+            await self._pass(link)
             host, port = target.split(":")
             back_reader, back_writer = await asyncio.open_connection(
                 host, int(port)
             )
-            await asyncio.gather(
-                self._pump(pair, reader, back_writer),
-                self._pump(pair, back_reader, writer),
+            await self._both(
+                self._pump(link, reader, back_writer),
+                self._pump(link, back_reader, writer),
             )
         except OSError:
             pass
@@ -98,18 +96,33 @@
                 if end:
                     end.transport.abort()
 
-    async def _pass(self, pair):
-        """Waits until the pair is not cut."""
-        async with self.healed:
-            await self.healed.wait_for(lambda: pair not in self.cuts)
-
-    async def _pump(self, pair, reader, writer):
-        try:
-            while data := await reader.read(65536):
-                await self._pass(pair)
-                writer.write(data)
-                await writer.drain()
-        finally:
-            # The end of one direction ends the connection: the processes keep
-            # connections open while they are in use.
-            writer.transport.abort() if reader.at_eof() else None
+    def _is_cut(self, link):
+        # Who has opened it is looked up only when that matters.
+        if not any(link.to in pair for pair in self.cuts):
+            return False
+        if not link.looked_up:
+            pids = self.processes()
+            link.opened_by = pids.get(opened_by(link.port, pids))
+            link.looked_up = True
+        return (link.opened_by, link.to) in self.cuts
+
+    async def _pass(self, link):
+        """Waits until the link is not cut."""
+        while self._is_cut(link):
+            await asyncio.sleep(0.005)
+
+    @staticmethod
+    async def _both(*directions):
+        """Runs until one direction has ended: the processes keep connections
+        open while they are in use."""
+        tasks = [asyncio.ensure_future(each) for each in directions]
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for each in tasks:
+            each.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _pump(self, link, reader, writer):
+        while data := await reader.read(65536):
+            await self._pass(link)
+            writer.write(data)
+            await writer.drain()
