--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -275,7 +275,12 @@
     def late(*_):
         raise TimeoutError(f"the case took longer than {limit_s} s")
 
+    def told(*_):
+        raise InterruptedError("the case was told to end")
+
     signal.signal(signal.SIGALRM, late)
+    signal.signal(signal.SIGTERM, told)
+    signal.signal(signal.SIGINT, told)
     signal.alarm(limit_s)
     try:
         if not os.access(standin.BINARY, os.X_OK):
