--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,7 @@
-"""Case 8: a stored job that is handed in while the leading control VM is cut
-off, and whose client leaves."""
+"""Case 8: an entry goes on with an older manifest, since it waits for the
+document of a control VM that has been cut off."""
 
 import os
-import socket
 import sys
 import threading
 import time
@@ -12,126 +11,98 @@
 )
 import deployment as d  # noqa: E402
 
-JOBS_PER_S = 20
-CALM_S = 8
-CUT_S = 4  # as in the site's `core_cut` of the leader
-LEAVES_AFTER_S = 0.15  # less than half the objective, 1.6 x 200 ms + 60 ms
-AFTER_CUT_S = 8
-DOWN_S = 1
-WATCHED_S = 10
+ENTRIES = 9
+ROUTES = 350  # as many as `big_config` adds in the site's entry
+CUT_S = 5
+ROUNDS = 8
 
 
-class Traffic:
-    """Clients of jobs that need not be stored; each notes its answer."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.sent = []
-        self.ends = False
-        self.threads = [
-            threading.Thread(target=self._send, args=(n,), daemon=True)
-            for n in range(JOBS_PER_S)
-        ]
-        for each in self.threads:
-            each.start()
-
-    def _send(self, number):
-        body = {
-            "spec": "0.06",
-            "best_effort": True,
-            "phases": [
-                {"count": 2, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60}
-            ],
-        }
-        count = 0
-        time.sleep(number / JOBS_PER_S)
-        while not self.ends:
-            count += 1
-            job = f"{number + 1:04x}{count:012x}"
-            row = [self.fleet.record.now(), False]
-            # A client sends a job again after an unclear answer, until its
-            # time limit has passed several times over.
-            status = self.fleet.submit_body(job, body, tries=2)
-            row[1] = status == 200
-            self.sent.append(row)
-            time.sleep(max(0, row[0] + 1 - self.fleet.record.now()))
-
-    def share(self, begin, end):
-        rows = [served for at, served in self.sent if begin <= at < end]
-        return sum(rows) / len(rows) if rows else 0.0, len(rows)
-
-    def stop(self):
-        self.ends = True
-        for each in self.threads:
-            each.join(timeout=6)
-
-
-def hand_in_and_leave(fleet, job):
-    """Sends a job that is to be stored, and closes the channel soon after."""
-    body = ('{"spec":"0.2","phases":[{"count":2,"cpu":1000,"mem_mb":64,'
-            '"estimate_ms":200}]}')
-    host, port = fleet.front(0).split(":")
-    head = (
-        f"POST /claims/{job} HTTP/1.1\r\nhost: {d.HOST}\r\n"
-        "content-type: application/json\r\ngeraniumbay-timeout-ms: 1500\r\n"
-        f"content-length: {len(body)}\r\n\r\n"
+def manifest(fleet, version):
+    """A manifest with many routes, one of which only this version has."""
+    body = fleet.manifest(version)
+    route = body["routes"][0]
+    for number in range(ROUTES):
+        body["routes"].append(
+            dict(route, name=f"many-{number}", path_prefix=f"/many-{number}/",
+                 priority=1)
+        )
+    body["routes"].append(
+        dict(route, name=f"new-{version}", path_prefix=f"/new-{version}/",
+             priority=1)
     )
-    with socket.create_connection((host, int(port)), timeout=1) as channel:
-        channel.sendall((head + body).encode())
-        channel.settimeout(LEAVES_AFTER_S)
-        try:
-            answer = channel.recv(200).split(b"\r\n")[0].decode()
-        except OSError:
-            answer = "no answer yet"
-    fleet.record.note(f"POST {job}, to be stored: {answer}; the client leaves")
+    return body
 
 
 def play(record, trouble, holder):
-    fleet = holder["fleet"] = d.LinkedDeployment(record, entries=3, workers=6)
+    fleet = holder["fleet"] = d.LinkedDeployment(
+        record, entries=ENTRIES, workers=3
+    )
     fleet.begin()
+    version = 10
+    if fleet.put(manifest(fleet, version)) != 200:
+        raise RuntimeError("the manifest was not acknowledged")
     record.note("the system serves")
-    traffic = Traffic(fleet)
-    time.sleep(CALM_S)
+    time.sleep(4)
     leader = fleet.leader()
     others = [m.name for m in fleet.core if m is not leader]
+    control = f"{leader.ip}:{fleet.port + 2}"
+    isolated = None
+    for _ in range(ROUNDS):
+        version += 3
+        if trouble:
+            isolated = fleet.links.isolate_at(
+                leader.name, others, b"jobs.document"
+            )
+        status, _ = d.standin.request(
+            control, "PUT", "/config", manifest(fleet, version), timeout=2
+        )
+        confirmed = record.now()
+        record.note(f"PUT /config version {version} -> {status}")
+        if status != 200 or not trouble or isolated.wait(1.0):
+            break
+        time.sleep(1)
+    if status != 200:
+        raise RuntimeError("the manifest was not acknowledged")
+    cut = record.now()
     if trouble:
-        record.note(f"{leader.name}, which leads, is cut off from {others}")
-        fleet.links.cut(leader.name, others)
-        cut_since = record.now()
-        time.sleep(0.05)
-    hand_in_and_leave(fleet, "00000000000000aa")
-    if trouble:
-        time.sleep(cut_since + CUT_S - record.now())
-        fleet.links.heal()
-        record.note("the cut is healed")
-    healed = record.now()
-    time.sleep(AFTER_CUT_S)
-    share, count = traffic.share(healed + d.CONTACT_S, record.now() - 3)
-    record.note(f"after the cut: {share:.0%} of {count} requests are served")
-    record.note("final fault: all processes are killed")
-    final = record.now()
-    for machine in fleet.core + fleet.entries:
-        machine.process.kill()
-    for machine in fleet.core + fleet.entries:
-        machine.process.wait()
-    time.sleep(DOWN_S)
-    for machine in fleet.core + fleet.entries:
-        machine.start()
-    back = record.now()
-    record.note("all machines are back")
-    time.sleep(d.RECOVERY_S + WATCHED_S)
-    last = record.now() - 4
-    traffic.stop()
-    before, count_before = traffic.share(0, final)
-    after, count_after = traffic.share(back + d.RECOVERY_S, last)
-    record.note(f"before the final fault {before:.0%} of {count_before} "
-                f"requests are served; later than recovery_s after it "
-                f"{after:.0%} of {count_after}")
-    if count_after == 0 or count_before == 0:
-        raise RuntimeError("there was no traffic")
-    if before >= 0.25 and after < 0.25:
-        return [f"RECOVER: {after:.0%} of the requests that were sent later "
-                f"than recovery_s are served, {before:.0%} before"]
+        if not isolated.is_set():
+            raise RuntimeError("no entry asked the leader for the document")
+        record.note(f"{leader.name}, which leads, is cut off from all machines")
+    # All entries are asked for the new route, as clients do.
+    last_old = [None] * ENTRIES
+    path = f"/new-{version}/"
+
+    def ask(entry):
+        while record.now() < cut + CUT_S:
+            sent = record.now()
+            status, _ = d.standin.request(
+                fleet.front(entry), "GET", path, None,
+                {"host": d.HOST, "geraniumbay-timeout-ms": "1500"}, timeout=1.5,
+            )
+            record.note(f"GET {path} at entry {entry}, sent at {sent:.3f} "
+                        f"-> {status}", show=False)
+            if status == 404:
+                last_old[entry] = sent
+            time.sleep(0.03)
+
+    threads = [threading.Thread(target=ask, args=(n,)) for n in range(ENTRIES)]
+    for each in threads:
+        each.start()
+    for each in threads:
+        each.join()
+    fleet.links.heal()
+    # The core is stable again contact_ms after the cut, which ends later.
+    in_touch = cut + (d.CONTACT_S if trouble else 0)
+    bound = max(confirmed + d.BOUNDS["config_apply_ms"] / 1000, in_touch)
+    for entry, sent in enumerate(last_old):
+        if sent:
+            record.note(f"entry {entry}: 404 for the new route last for a "
+                        f"request sent {sent - confirmed:.2f} s after the "
+                        f"confirmation, {sent - cut:.2f} s after the cut")
+    late = [n for n, sent in enumerate(last_old) if sent and sent > bound]
+    if late:
+        return [f"CONFIG: entries {late}, in touch, refuse a route with 404 "
+                "that has been confirmed for more than config_apply_ms"]
     return []
 
 
