--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python3 -m py_compile tests/process/platform_standin.py review/common-3/*.py \
-  review/7/case.py review/8/case.py
+  review/7/case.py review/8/case.py review/other-3/memory/case.py
