--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
 """Case 8: an entry goes on with an older manifest, since it waits for the
-document of a control VM that has been cut off."""
+document of a control VM that is frozen."""
 
 import os
+import signal
 import sys
 import threading
 import time
@@ -13,7 +14,7 @@
 
 ENTRIES = 9
 ROUTES = 350  # as many as `big_config` adds in the site's entry
-CUT_S = 5
+FREEZE_S = 4  # as in the site's `node_freeze` on the core
 ROUNDS = 8
 
 
@@ -44,36 +45,36 @@
     record.note("the system serves")
     time.sleep(4)
     leader = fleet.leader()
-    others = [m.name for m in fleet.core if m is not leader]
     control = f"{leader.ip}:{fleet.port + 2}"
-    isolated = None
+    frozen = None
     for _ in range(ROUNDS):
         version += 3
         if trouble:
-            isolated = fleet.links.isolate_at(
-                leader.name, others, b"jobs.document"
+            frozen = fleet.links.call_at(
+                leader.name, b"jobs.document",
+                lambda: leader.process.send_signal(signal.SIGSTOP),
             )
         status, _ = d.standin.request(
             control, "PUT", "/config", manifest(fleet, version), timeout=2
         )
         confirmed = record.now()
         record.note(f"PUT /config version {version} -> {status}")
-        if status != 200 or not trouble or isolated.wait(1.0):
+        if status != 200 or not trouble or frozen.wait(1.0):
             break
         time.sleep(1)
     if status != 200:
         raise RuntimeError("the manifest was not acknowledged")
-    cut = record.now()
+    begin = record.now()
     if trouble:
-        if not isolated.is_set():
+        if not frozen.is_set():
             raise RuntimeError("no entry asked the leader for the document")
-        record.note(f"{leader.name}, which leads, is cut off from all machines")
+        record.note(f"{leader.name}, which leads, is frozen")
     # All entries are asked for the new route, as clients do.
     last_old = [None] * ENTRIES
     path = f"/new-{version}/"
 
     def ask(entry):
-        while record.now() < cut + CUT_S:
+        while record.now() < begin + FREEZE_S:
             sent = record.now()
             status, _ = d.standin.request(
                 fleet.front(entry), "GET", path, None,
@@ -90,15 +91,17 @@
         each.start()
     for each in threads:
         each.join()
-    fleet.links.heal()
-    # The core is stable again contact_ms after the cut, which ends later.
-    in_touch = cut + (d.CONTACT_S if trouble else 0)
+    if trouble:
+        leader.process.send_signal(signal.SIGCONT)
+    # The core is stable again contact_ms after the freeze has begun, until
+    # it ends.
+    in_touch = begin + (d.CONTACT_S if trouble else 0)
     bound = max(confirmed + d.BOUNDS["config_apply_ms"] / 1000, in_touch)
     for entry, sent in enumerate(last_old):
         if sent:
             record.note(f"entry {entry}: 404 for the new route last for a "
                         f"request sent {sent - confirmed:.2f} s after the "
-                        f"confirmation, {sent - cut:.2f} s after the cut")
+                        f"confirmation, {sent - begin:.2f} s after the freeze")
     late = [n for n, sent in enumerate(last_old) if sent and sent > bound]
     if late:
         return [f"CONFIG: entries {late}, in touch, refuse a route with 404 "
--- a/review/common-3/links.py
+++ b/review/common-3/links.py
@@ -53,7 +53,6 @@
         self.loop = asyncio.new_event_loop()
         self.processes = lambda: {}
         self.cuts = set()
-        self.isolated = set()
         self.on_request = None
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
 
@@ -68,19 +67,14 @@
         for other in others:
             self.cuts = self.cuts | {(one, other), (other, one)}
 
-    def isolate(self, one, others):
-        """Separates the machine one from all others, whatever they are."""
-        self.cut(one, others)
-        self.isolated = self.isolated | {one}
-
-    def isolate_at(self, one, others, text):
-        """Does so when a request to the machine one holds text; sets and
-        returns an event."""
+    def call_at(self, one, text, action):
+        """Calls action once, when a request to the machine one holds text and
+        before it is passed on; returns an event that is set then."""
         seen = threading.Event()
 
         def check(link, data):
             if link.to == one and text in data and not seen.is_set():
-                self.isolate(one, others)
+                action()
                 seen.set()
 
         self.on_request = check
@@ -89,7 +83,6 @@
     def heal(self):
         self.on_request = None
         self.cuts = set()
-        self.isolated = set()
 
     async def _serve(self, name, listen, target):
         async def accept(reader, writer):
@@ -120,8 +113,6 @@
 
     def _is_cut(self, link):
         # Who has opened it is looked up only when that matters.
-        if link.to in self.isolated:
-            return True
         if not any(link.to in pair for pair in self.cuts):
             return False
         if not link.looked_up:
