--- a/src/framework/metrics/metrics.cpp
+++ b/src/framework/metrics/metrics.cpp
@@ -32,12 +32,17 @@
 
 void Metrics::count(const std::string &Name, const std::string &Help,
                     const MetricLabels &Labels) {
+  add(Name, Help, Labels, 1);
+}
+
+void Metrics::add(const std::string &Name, const std::string &Help,
+                  const MetricLabels &Labels, double Amount) {
   prometheus::BuildCounter()
       .Name(Name)
       .Help(Help)
       .Register(Impl_->Registry)
       .Add(Labels)
-      .Increment();
+      .Increment(Amount);
 }
 
 void Metrics::set(const std::string &Name, const std::string &Help,
--- a/src/framework/metrics/metrics.h
+++ b/src/framework/metrics/metrics.h
@@ -28,6 +28,9 @@
   /// Adds one to the counter \p Name; \p Help counts at its first use.
   void count(const std::string &Name, const std::string &Help,
              const MetricLabels &Labels);
+  /// Adds \p Amount, which is not negative, to the counter \p Name.
+  void add(const std::string &Name, const std::string &Help,
+           const MetricLabels &Labels, double Amount);
   /// Sets the gauge \p Name.
   void set(const std::string &Name, const std::string &Help,
            const MetricLabels &Labels, double Value);
--- a/src/framework/net/httpmessage.h
+++ b/src/framework/net/httpmessage.h
@@ -34,6 +34,8 @@
   std::string Query;
   HttpHeaders Headers;
   std::string Body;
+  /// Names the kind of message in metrics; empty: its path. Not sent.
+  std::string Kind;
 };
 
 /// A whole response.
--- a/src/framework/rpc/rpcclient.cpp
+++ b/src/framework/rpc/rpcclient.cpp
@@ -55,6 +55,7 @@
   HttpRequest Request;
   Request.Method = "POST";
   Request.Path = RpcPath;
+  Request.Kind = Method;
   bool Binary = Encoding_ == RpcEncoding::Cbor;
   Request.Headers.push_back(
       {"content-type", Binary ? cbor_codec::ContentType : JsonType});
