Limit the unanswered start orders of an owner by their answers' time

Cause: the scheduler ordered every task that fitted a worker at once, whatever was still unanswered. On a full link answers took longer than the validity of orders and the time limits of holds and calls; each of these makes an owner send more (orders again, holds again, stops, queries, new connections), and leases lapsed. A congestion collapse that feeds itself. Admission and the load that owners report take the wait to be ordered into account. Ruled out: a bound in bytes or a fixed number, as links and processors differ tenfold; the slowest or mean answer as the signal, as a silent worker would hold back the pool.

--- a/src/jobs/internal/intake.cpp
+++ b/src/jobs/internal/intake.cpp
@@ -132,11 +132,16 @@
   scheduling::JobOutlook Own{initialTaskCount(New.Spec),
                              expectedRun(New, New.Spec.Steps.front(), Now)};
   double Cores = usableCores(New.Service);
+  Duration ToOrder =
+      scheduling::timeToOrder(Orders_, Pool.Ahead.size() + Own.Tasks, Now);
   auto WaitBehind = [&](std::uint32_t Priority) {
     Pool.UrgentShare =
         Cores == 0 ? 0
                    : scheduling::urgentLoad(Arrivals_, Priority, Now) / Cores;
-    return scheduling::waitForLastStart(Pool, Own);
+    std::optional<Duration> Wait = scheduling::waitForLastStart(Pool, Own);
+    if (Wait)
+      *Wait = std::max(*Wait, ToOrder);
+    return Wait;
   };
   return {WaitBehind(New.Priority), WaitBehind(New.Priority + 1)};
 }
--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -54,12 +54,18 @@
   if (Result.Capacity == 0)
     return Result;
   std::array<scheduling::CoreTime, scheduling::PriorityClasses> Waiting{};
-  for (const auto &[Rank, Task] : Queue_)
-    Waiting[scheduling::classOf(Rank.Priority)] +=
-        scheduling::workOf(Task.Needs.CpuMillis, Task.Estimate);
+  std::array<std::size_t, scheduling::PriorityClasses> Orders{};
+  for (const auto &[Rank, Task] : Queue_) {
+    std::size_t Class = scheduling::classOf(Rank.Priority);
+    Waiting[Class] += scheduling::workOf(Task.Needs.CpuMillis, Task.Estimate);
+    ++Orders[Class];
+  }
+  Time Now = Deps_.Clock.now();
   for (std::size_t Class = 0; Class < Waiting.size(); ++Class)
-    Result.Backlog[Class] = scheduling::timeFor(
-        Waiting[Class], static_cast<double>(Result.Capacity));
+    Result.Backlog[Class] =
+        std::max(scheduling::timeFor(Waiting[Class],
+                                     static_cast<double>(Result.Capacity)),
+                 scheduling::timeToOrder(Orders_, Orders[Class], Now));
   return Result;
 }
 
@@ -82,7 +88,8 @@
     moveShutOut();
   Time Now = Deps_.Clock.now();
   std::size_t Skipped = 0;
-  for (auto It = Queue_.begin(); It != Queue_.end() && Skipped < MaxSkipped;) {
+  for (auto It = Queue_.begin();
+       It != Queue_.end() && Skipped < MaxSkipped && mayOrder(Now);) {
     if (!taskOf(It->second.Id)) {
       // Its job has just ended, and onCommitted() has not been called yet.
       Ranks_.erase(It->second.Id);
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -28,6 +28,7 @@
 #include "scheduling/calltiming.h"
 #include "scheduling/forecast.h"
 #include "scheduling/forecastskill.h"
+#include "scheduling/orderwindow.h"
 #include "scheduling/runtimes.h"
 
 #include <deque>
@@ -302,6 +303,10 @@
                              RunNumber Number);
   void started(const WorkerIncarnation &To, const StartOrder &Order, Time Sent,
                const StartAnswer &Answer);
+  /// Whether one more order may be sent; if not, tasks stay in the queue.
+  bool mayOrder(Time Now);
+  void noteOrderEnded(scheduling::OrderNumber Number,
+                      const StartAnswer &Answer);
   void noteTiming(const WorkerSession &Session, Time Sent,
                   const StartAnswer &Answer);
   RunNumber nextRun(const Job &JobRecord, const TaskId &Task);
@@ -393,6 +398,8 @@
   /// up again from lists that still contain them.
   std::map<WorkerId, WorkerStart> Gone_;
   scheduling::CallTiming Timing_;
+  /// The start orders that may be unanswered.
+  scheduling::OrderWindow Orders_;
   /// The worker of each known run. Invariant: agrees with Sessions_.
   std::unordered_map<TaskId, WorkerId> Places_;
   /// Tasks that are ready to start, in order.
--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -83,16 +83,31 @@
                          if (*Alive)
                            resolveStart(Worker, Task, Number);
                        });
+  scheduling::OrderNumber InWindow = scheduling::noteOrder(Orders_, Now);
   Deps_.Workers.start(
       {Session.Info.Worker, Session.Info.At}, Order,
       [this, Alive = Alive_,
        To = WorkerIncarnation{Session.Info.Worker, Session.Info.StartedAt},
-       Order, Now](const StartAnswer &Answer) {
-        if (*Alive)
-          started(To, Order, Now, Answer);
+       Order, Now, InWindow](const StartAnswer &Answer) {
+        if (!*Alive)
+          return;
+        noteOrderEnded(InWindow, Answer);
+        started(To, Order, Now, Answer);
       });
 }
 
+bool Scheduler::mayOrder(Time Now) { return scheduling::hasRoom(Orders_, Now); }
+
+void Scheduler::noteOrderEnded(scheduling::OrderNumber Number,
+                               const StartAnswer &Answer) {
+  if (Answer.Result == StartResult::Unknown ||
+      Answer.Result == StartResult::NotReceived)
+    scheduling::noteOrderLost(Orders_, Number);
+  else
+    scheduling::noteOrderAnswered(Orders_, Number, Deps_.Clock.now());
+  scheduleSoon();
+}
+
 bool Scheduler::isUnanswered(const WorkerId &Worker, const TaskId &Task,
                              RunNumber Number) {
   const WorkerSession *Session = session(Worker);
--- a/src/jobs/tests/fakeworkers.cpp
+++ b/src/jobs/tests/fakeworkers.cpp
@@ -13,6 +13,9 @@
 constexpr Duration OneWayDelay = 1ms;
 constexpr Duration LongestLease = 1000ms;
 constexpr Duration CallTimeout = 400ms;
+/// Of a message to a worker: its head, and what an order has beside the
+/// payload.
+constexpr std::size_t MessageBytes = 300;
 
 /// Wraps \p Done to be called once: with the answer, or with \p Late after the
 /// timeout.
@@ -236,15 +239,32 @@
   return Answer;
 }
 
+std::optional<Duration> FakeWorkerCalls::transmissionTime(std::size_t Bytes,
+                                                          Duration Timeout) {
+  if (LinkBytesPerMilli == 0)
+    return Duration(0);
+  Time Now = All_.Clock_.now();
+  Time Begins = std::max(LinkFreeAt_, Now);
+  if (Begins - Now >= Timeout)
+    return std::nullopt;
+  LinkFreeAt_ =
+      Begins + std::chrono::microseconds(Bytes * 1000 / LinkBytesPerMilli);
+  return LinkFreeAt_ - Now;
+}
+
 void FakeWorkerCalls::deliver(
-    const WorkerTarget &To,
+    const WorkerTarget &To, std::size_t Bytes, Duration Timeout,
     std::function<void(FakeWorkers::Worker &, bool)> Arrive) {
   if (Dead)
     return;
+  auto Transmission = transmissionTime(Bytes, Timeout);
+  if (!Transmission)
+    return;
   bool Late = All_.Rng.below(100) < All_.Faults_.LatePercent;
   // Late orders are carried out seconds later.
   Duration Delay =
       Late ? 2s + Duration(All_.Rng.below(4'000'000)) : OneWayDelay;
+  Delay += *Transmission;
   All_.Timers_.after(Delay, [this, To, Late, Arrive = std::move(Arrive)] {
     auto Found = All_.Workers_.find(To.Worker);
     if (Found == All_.Workers_.end() ||
@@ -258,30 +278,32 @@
                             std::function<void(StartAnswer)> Done) {
   auto Finish = once<StartAnswer>(All_.Timers_, std::move(Done), CallTimeout,
                                   StartAnswer());
-  deliver(To, [this, Order, To, Finish](FakeWorkers::Worker &Target,
-                                        bool Answers) {
-    if (Target.Down)
-      return Finish(
-          {Target.Replaced ? StartResult::Replaced : StartResult::NotReceived,
-           std::nullopt});
-    StartAnswer Answer = All_.start(Target, Order);
-    if (Answers && !All_.Faults_.isCut(Host_, To.At.Address))
-      All_.Timers_.after(OneWayDelay, [Finish, Answer] { Finish(Answer); });
-  });
+  deliver(To, MessageBytes + Order.Payload.size(), CallTimeout,
+          [this, Order, To, Finish](FakeWorkers::Worker &Target, bool Answers) {
+            if (Target.Down)
+              return Finish({Target.Replaced ? StartResult::Replaced
+                                             : StartResult::NotReceived,
+                             std::nullopt});
+            StartAnswer Answer = All_.start(Target, Order);
+            if (Answers && !All_.Faults_.isCut(Host_, To.At.Address))
+              All_.Timers_.after(OneWayDelay,
+                                 [Finish, Answer] { Finish(Answer); });
+          });
 }
 
 void FakeWorkerCalls::stop(const WorkerTarget &To, const StopOrder &Order,
                            StopCallback Done) {
   auto Finish = once<std::optional<WorkerMillis>>(All_.Timers_, std::move(Done),
                                                   CallTimeout, std::nullopt);
-  deliver(To, [this, Order, To, Finish](FakeWorkers::Worker &Target,
-                                        bool Answers) {
-    if (Target.Down || !All_.stop(Target, Order) || !Answers ||
-        All_.Faults_.isCut(Host_, To.At.Address))
-      return;
-    All_.Timers_.after(OneWayDelay,
-                       [Finish, Now = All_.clockNow(Target)] { Finish(Now); });
-  });
+  deliver(To, MessageBytes, CallTimeout,
+          [this, Order, To, Finish](FakeWorkers::Worker &Target, bool Answers) {
+            if (Target.Down || !All_.stop(Target, Order) || !Answers ||
+                All_.Faults_.isCut(Host_, To.At.Address))
+              return;
+            All_.Timers_.after(
+                OneWayDelay,
+                [Finish, Now = All_.clockNow(Target)] { Finish(Now); });
+          });
 }
 
 void FakeWorkerCalls::hold(const WorkerTarget &To, const HoldOrder &Order,
@@ -290,35 +312,36 @@
   auto Finish =
       once<Result>(All_.Timers_, std::move(Done), Order.Wait + CallTimeout,
                    Error{ErrorCode::Timeout, "no answer"});
-  deliver(
-      To, [this, Order, To, Finish](FakeWorkers::Worker &Target, bool Answers) {
-        if (!Answers)
-          return;
-        if (Target.Down)
-          return Finish(
-              Error{Target.Replaced ? ErrorCode::NotFound : ErrorCode::Refused,
-                    "the worker is gone"});
-        Result First = All_.look(Target, Order);
-        auto Answer = [this, To, Finish](const Result &Reply) {
-          if (!All_.Faults_.isCut(Host_, To.At.Address))
-            All_.Timers_.after(OneWayDelay, [Finish, Reply] { Finish(Reply); });
-        };
-        if (!First || !First->Ended.empty() || Order.Wait == Duration(0))
-          return Answer(First);
-        // The lease is renewed now; the answer comes with the next end.
-        HoldOrder Again = Order;
-        Again.LeaseUntil.reset();
-        auto Open = std::make_shared<bool>(true);
-        auto Later = [this, Again, Answer, Open, Id = To.Worker,
-                      StartedAt = Target.Info.StartedAt] {
-          const FakeWorkers::Worker &Now = All_.Workers_[Id];
-          bool Gone = Now.Down || Now.Info.StartedAt != StartedAt;
-          if (std::exchange(*Open, false) && !Gone)
-            Answer(All_.look(All_.Workers_[Id], Again));
-        };
-        Target.Waiting = Later;
-        All_.Timers_.after(Order.Wait, Later);
-      });
+  deliver(To, MessageBytes, Order.Wait + CallTimeout,
+          [this, Order, To, Finish](FakeWorkers::Worker &Target, bool Answers) {
+            if (!Answers)
+              return;
+            if (Target.Down)
+              return Finish(Error{Target.Replaced ? ErrorCode::NotFound
+                                                  : ErrorCode::Refused,
+                                  "the worker is gone"});
+            Result First = All_.look(Target, Order);
+            auto Answer = [this, To, Finish](const Result &Reply) {
+              if (!All_.Faults_.isCut(Host_, To.At.Address))
+                All_.Timers_.after(OneWayDelay,
+                                   [Finish, Reply] { Finish(Reply); });
+            };
+            if (!First || !First->Ended.empty() || Order.Wait == Duration(0))
+              return Answer(First);
+            // The lease is renewed now; the answer comes with the next end.
+            HoldOrder Again = Order;
+            Again.LeaseUntil.reset();
+            auto Open = std::make_shared<bool>(true);
+            auto Later = [this, Again, Answer, Open, Id = To.Worker,
+                          StartedAt = Target.Info.StartedAt] {
+              const FakeWorkers::Worker &Now = All_.Workers_[Id];
+              bool Gone = Now.Down || Now.Info.StartedAt != StartedAt;
+              if (std::exchange(*Open, false) && !Gone)
+                Answer(All_.look(All_.Workers_[Id], Again));
+            };
+            Target.Waiting = Later;
+            All_.Timers_.after(Order.Wait, Later);
+          });
 }
 
 } // namespace geraniumbay::jobs
--- a/src/jobs/tests/fakeworkers.h
+++ b/src/jobs/tests/fakeworkers.h
@@ -161,15 +161,23 @@
 
   /// The host's process has ended: it sends nothing.
   bool Dead = false;
+  /// What the host's link carries, one message after the other; 0: no limit. A
+  /// message of a call that has timed out is not sent any more.
+  std::uint64_t LinkBytesPerMilli = 0;
 
 private:
-  /// Calls \p Arrive on the worker after the one-way delay; Answers is false
-  /// for a late order, which must not be answered.
-  void deliver(const WorkerTarget &To,
+  /// Calls \p Arrive on the worker once the link has carried \p Bytes and the
+  /// one-way delay has passed; Answers is false for a late order, which must
+  /// not be answered.
+  void deliver(const WorkerTarget &To, std::size_t Bytes, Duration Timeout,
                std::function<void(FakeWorkers::Worker &, bool Answers)> Arrive);
+  /// The time until the link has carried a message that is sent now; empty if
+  /// it is not sent before \p Timeout.
+  std::optional<Duration> transmissionTime(std::size_t Bytes, Duration Timeout);
 
   FakeWorkers &All_;
   const std::string Host_;
+  Time LinkFreeAt_{};
 };
 
 } // namespace geraniumbay::jobs
--- /dev/null
+++ b/src/scheduling/orderwindow.h
@@ -0,0 +1,75 @@
+//===- orderwindow.h - Limit of unanswered start orders ---------*- C++ -*-===//
+//
+// Limits how many start orders the owner of a pool has unanswered, by the time
+// that workers take to answer, as congestion control does for segments. Orders
+// beyond what the owner's link or processor carries would wait in its sockets,
+// where they outlive their validity, delay the renewal of leases and are sent
+// again. Held back, their tasks wait in the owner's queue instead, in order of
+// priority, and the wait is known when jobs are admitted.
+//
+// The quickest answer of an interval decides: an overloaded owner gets no
+// answer in time, whereas a slow or silent worker delays only its own.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef GERANIUMBAY_SCHEDULING_ORDERWINDOW_H
+#define GERANIUMBAY_SCHEDULING_ORDERWINDOW_H
+
+#include "framework/clock/iclock.h"
+#include "framework/types/strongid.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace geraniumbay::scheduling {
+
+/// Numbers the orders of one window.
+using OrderNumber = StrongId<struct OrderNumberTag, std::uint64_t>;
+
+constexpr double MaxOrderWindow = 1024;
+
+struct OrderWindow {
+  /// The most orders that may be unanswered. Fractional, so that it grows
+  /// smoothly.
+  double Size = 16;
+  /// Up to here it grows with each answer.
+  double FastUntil = MaxOrderWindow;
+  OrderNumber Last;
+  /// The latest order that was answered.
+  OrderNumber LastAnswered;
+  /// When the orders were sent that count against Size.
+  std::map<OrderNumber, Time> Unanswered;
+
+  // The interval in progress.
+  Time IntervalBegan;
+  std::size_t Answers = 0;
+  std::optional<Duration> QuickestAnswer;
+  /// An order had to wait for room.
+  bool WasFull = false;
+  /// An order was unanswered for longer than answers usually take.
+  bool HasOverdue = false;
+
+  /// While the owner is overloaded: answers a second, smoothed, and when it was
+  /// found to be so last.
+  double AnswersPerSecond = 0;
+  std::optional<Time> OverloadedAt;
+};
+
+/// Whether one more order may be sent; otherwise tasks wait.
+bool hasRoom(OrderWindow &Window, Time Now);
+/// Notes an order that is sent now.
+OrderNumber noteOrder(OrderWindow &Window, Time Now);
+/// Notes the answer to an order.
+void noteOrderAnswered(OrderWindow &Window, OrderNumber Number, Time Now);
+/// Notes that an order is not answered any more.
+void noteOrderLost(OrderWindow &Window, OrderNumber Number);
+
+/// The time until the last of \p Orders that wait in line is sent; 0 if the
+/// owner is not overloaded.
+Duration timeToOrder(const OrderWindow &Window, std::size_t Orders, Time Now);
+
+} // namespace geraniumbay::scheduling
+
+#endif // GERANIUMBAY_SCHEDULING_ORDERWINDOW_H
