Size pools by the narrowest link of the entries

Cause: pools are joined up to forty workers, whatever an owner's link carries. The orders for forty busy workers, with their payloads, take up to 3 Mbit/s, and the jobs come on top. Evidence: event=traffic, 250 kB/s of link and 206 sent by the busiest owner in second 1; with links of 25 Mbit/s the same owners send 220 to 350 kB/s. Change: the leader takes the narrowest link that entries state into account when it divides the workers: 250 kbit/s for each. From 10 Mbit/s on nothing changes. Not covered: less processor time than an eighth of a core; the division isn't made anew when links change.

--- a/src/jobs/internal/jobservice.h
+++ b/src/jobs/internal/jobservice.h
@@ -83,6 +83,7 @@
   /// announces itself again.
   void removeGoneWorkers(const Json::Value &Params);
   struct EntryContact;
+  std::vector<scheduling::VmCapacity> entryCapacities() const;
   /// Notes the capacity that the entry's request states.
   void noteCapacity(EntryContact &Contact, bool New, const Json::Value &Params);
   ListedEntry listed(const EntryPlace &Place,
--- a/src/jobs/internal/servicesync.cpp
+++ b/src/jobs/internal/servicesync.cpp
@@ -48,14 +48,14 @@
 /// Limit on that wait where workers keep coming and going.
 constexpr Duration MaxSettleTime = std::chrono::seconds(3);
 
-RackGroups groupRacksByDataCentre(const WorkerDirectory &Directory) {
+RackGroups groupRacksByDataCentre(const WorkerDirectory &Directory,
+                                  std::size_t WorkersPerPool) {
   std::map<DataCentreId, std::map<std::string, std::size_t>> Racks;
   for (const auto &[Id, Known] : Directory.Workers)
     ++Racks[Known.Info.DataCentre][Known.Info.Rack];
   RackGroups Result;
   for (const auto &[DataCentre, Sizes] : Racks)
-    Result[DataCentre] =
-        scheduling::groupRacks(Sizes, scheduling::TargetWorkersPerPool);
+    Result[DataCentre] = scheduling::groupRacks(Sizes, WorkersPerPool);
   return Result;
 }
 
@@ -127,6 +127,14 @@
           Directory_, {WorkerId(Worker), WorkerStart(Gone[Worker].asInt64())});
 }
 
+std::vector<scheduling::VmCapacity> JobService::entryCapacities() const {
+  std::vector<scheduling::VmCapacity> Result;
+  Result.reserve(Entries_.size());
+  for (const auto &[Place, Each] : Entries_)
+    Result.push_back(Each.Capacity);
+  return Result;
+}
+
 void JobService::noteCapacity(EntryContact &Contact, bool New,
                               const Json::Value &Params) {
   auto Read = [&](const char *Name) {
@@ -137,11 +145,7 @@
   if (!New && Contact.Capacity == Capacity)
     return;
   Contact.Capacity = Capacity;
-  std::vector<scheduling::VmCapacity> All;
-  All.reserve(Entries_.size());
-  for (const auto &[Place, Each] : Entries_)
-    All.push_back(Each.Capacity);
-  bool Alike = scheduling::areAlike(All);
+  bool Alike = scheduling::areAlike(entryCapacities());
   // Entries that follow the changes need the capacities of all others from the
   // first that differs on.
   if (Alike != EntriesAlike_ || (!New && !Alike))
@@ -307,13 +311,16 @@
   Dividing_ = true;
   JobChanges Changes;
   Changes.SplitByRack = true;
-  Changes.Groups = groupRacksByDataCentre(Directory_);
+  std::size_t PerPool = scheduling::workersPerPool(entryCapacities());
+  Changes.Groups = groupRacksByDataCentre(Directory_, PerPool);
   Deps_.Log.append(
-      wire::writeChanges(Changes), [this](const Outcome<Done> &Committed) {
+      wire::writeChanges(Changes),
+      [this, PerPool](const Outcome<Done> &Committed) {
         Dividing_ = false;
         logEvent(
             LogLevel::Info, Module, "divides_by_racks",
             {{"workers", Directory_.Workers.size()},
+             {"per_pool", PerPool},
              {"outcome",
               Committed ? "recorded" : errorCodeName(Committed.error().Code)}});
       });
--- a/src/scheduling/poolsize.cpp
+++ b/src/scheduling/poolsize.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+/// What an owner's link carries for each worker when the pool is busy: orders
+/// with their payloads, holds and jobs take about a tenth of a megabit a
+/// second; the rest is for bursts and for the entry's own callers.
+constexpr std::size_t LinkKbitsPerWorker = 250;
+
 struct Group {
   std::size_t Workers = 0;
   std::vector<std::string> Racks;
@@ -34,6 +39,14 @@
 
 } // namespace
 
+std::size_t workersPerPool(const std::vector<VmCapacity> &Capacities) {
+  std::size_t Result = TargetWorkersPerPool;
+  for (const VmCapacity &Each : Capacities)
+    if (Each.LinkKbits != 0)
+      Result = std::min(Result, Each.LinkKbits / LinkKbitsPerWorker);
+  return std::max<std::size_t>(Result, 1);
+}
+
 std::map<std::string, std::string>
 groupRacks(const std::map<std::string, std::size_t> &Racks,
            std::size_t Target) {
--- a/src/scheduling/poolsize.h
+++ b/src/scheduling/poolsize.h
@@ -11,9 +11,12 @@
 #ifndef GERANIUMBAY_SCHEDULING_POOLSIZE_H
 #define GERANIUMBAY_SCHEDULING_POOLSIZE_H
 
+#include "scheduling/ownership.h"
+
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace geraniumbay::scheduling {
 
@@ -21,6 +24,10 @@
 /// headroom for bursts: about 300 starts a second.
 constexpr std::size_t TargetWorkersPerPool = 40;
 
+/// The number of workers per pool where entries have \p Capacities: the target,
+/// or less if the narrowest link does not carry the messages for as many.
+std::size_t workersPerPool(const std::vector<VmCapacity> &Capacities);
+
 /// Partitions the racks of a data centre, given with their numbers of workers,
 /// into groups of about \p Target workers and of similar size. Returns the
 /// group of each rack; a group is named after its alphabetically first rack.
--- a/src/scheduling/tests/poolsizetest.cpp
+++ b/src/scheduling/tests/poolsizetest.cpp
@@ -36,6 +36,14 @@
   }
 }
 
+// Guards against pools whose orders fill the link of their owner.
+TEST(PoolSizeTest, OwnersWithNarrowLinksHaveSmallerPools) {
+  EXPECT_EQ(workersPerPool({}), TargetWorkersPerPool);
+  EXPECT_EQ(workersPerPool({{120, 0}, {120, 25'000}}), TargetWorkersPerPool);
+  EXPECT_EQ(workersPerPool({{120, 25'000}, {120, 5'000}}), 20U);
+  EXPECT_EQ(workersPerPool({{120, 100}}), 1U);
+}
+
 TEST(PoolSizeTest, LargeRacksStayAlone) {
   EXPECT_EQ(sizesOf(evenRacks(4, 50), TargetWorkersPerPool).size(), 4U);
 }
