Take run times by the worker's clock

Cause: the run time of a task was the time from its order until its end was known, with what both spent in queues on the way. Expected run times, and with them objectives and the pace of workers, grew with the queues. Change: the answers to an order and to the hold that lists its end have the worker's clock; run time is the difference. Without an answer to the order it stays as it was. Figures: WorkerSessionTest.TheTimeInTransitIsNoRunTime, 60 ms learned of a run that was known to have ended after 400 ms; 400 ms before.

--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -205,6 +205,7 @@
     Found->second.Confirmed = true;
     if (Answer.Clock)
       Found->second.ListedAfter = Found->second.ExistedAt = *Answer.Clock;
+    Found->second.StartedAt = Answer.Clock;
     return;
   }
   logEvent(LogLevel::Warning, Module, "start_failed",
--- a/src/jobs/internal/workersession.cpp
+++ b/src/jobs/internal/workersession.cpp
@@ -28,6 +28,18 @@
   Session.EndsKnownBefore = std::max(Session.EndsKnownBefore, Before);
 }
 
+/// The timing of a run whose end is in an answer from \p ListedAt. A worker
+/// answers a waiting hold as soon as a run ends.
+RunTiming timingOf(const Run &Ended, WorkerMillis ListedAt, Time Now) {
+  Duration SinceOrder = Now - Ended.Since;
+  if (!Ended.StartedAt)
+    return {SinceOrder, Ended.Expected};
+  Duration AtWorker = std::clamp<Duration>(
+      std::chrono::milliseconds(ListedAt.value() - Ended.StartedAt->value()),
+      Duration(0), SinceOrder);
+  return {AtWorker, Ended.Expected};
+}
+
 void applyEnds(WorkerSession &Session, const HoldAnswer &Answer,
                HoldFindings &Out, Time Now) {
   for (const EndedTask &End : Answer.Ended) {
@@ -41,8 +53,7 @@
     if (Found->second.Number == End.Run)
       noteEndsKnown(Session, Found->second.ExistedAt);
     if (Found->second.Number == End.Run && !Found->second.Adopted)
-      Out.RunTimings[End.Task] = {Now - Found->second.Since,
-                                  Found->second.Expected};
+      Out.RunTimings[End.Task] = timingOf(Found->second, Answer.Clock, Now);
     removeRun(Session, End.Task);
   }
   for (const EndedTask &End : Out.Ended)
@@ -175,6 +186,7 @@
     // Readings of the earlier incarnation's clock.
     Each.ExistedAt = WorkerMillis();
     Each.AbsentSince.reset();
+    Each.StartedAt.reset();
   }
   Session = std::move(New);
 }
--- a/src/jobs/internal/workersession.h
+++ b/src/jobs/internal/workersession.h
@@ -63,6 +63,8 @@
   /// The moment of the first answer that should list the run if it existed and
   /// does not. Its end may not have been listed yet.
   std::optional<WorkerMillis> AbsentSince{};
+  /// When the worker answered the order, by its own clock.
+  std::optional<WorkerMillis> StartedAt{};
 };
 
 /// Identifies a batch of ends of one worker; counted by the scheduler.
@@ -323,7 +325,8 @@
 
 /// Actual and expected run time of a run.
 struct RunTiming {
-  /// From the start order until its end was reported.
+  /// By the worker's clock. If its start is unknown, by this process's clock
+  /// from the order on, which includes the time in transit.
   Duration Elapsed{0};
   Duration Expected{0};
 };
