Refuse at once what an overloaded owner can't order in time

Cause: jobs that can't be in time were admitted as late, and the forecast of their wait didn't count the late ones that waited already; it also took the pace of answers over an interval in which orders may have been few. Evidence: in OverloadTest some hundred late tasks wait with a forecast of 51 ms; refusals take up to 1,020 ms at twice the link's capacity. Change: at an overloaded owner nothing is admitted as late, and the wait of others is the pace of answers times all orders that wait or are unanswered. An order that was overtaken by a later one is its worker's matter and does not count. The window keeps at least twelve orders, since an owner whose answers are late for another reason starved with four. Not included: a refusal that tells entries not to try other overloaded pools; it changes a message.

--- a/src/jobs/internal/intake.cpp
+++ b/src/jobs/internal/intake.cpp
@@ -132,18 +132,23 @@
   scheduling::JobOutlook Own{initialTaskCount(New.Spec),
                              expectedRun(New, New.Spec.Steps.front(), Now)};
   double Cores = usableCores(New.Service);
-  Duration ToOrder =
-      scheduling::timeToOrder(Orders_, Pool.Ahead.size() + Own.Tasks, Now);
   auto WaitBehind = [&](std::uint32_t Priority) {
     Pool.UrgentShare =
         Cores == 0 ? 0
                    : scheduling::urgentLoad(Arrivals_, Priority, Now) / Cores;
-    std::optional<Duration> Wait = scheduling::waitForLastStart(Pool, Own);
-    if (Wait)
-      *Wait = std::max(*Wait, ToOrder);
-    return Wait;
+    return scheduling::waitForLastStart(Pool, Own);
   };
-  return {WaitBehind(New.Priority), WaitBehind(New.Priority + 1)};
+  scheduling::WaitForecast Result{WaitBehind(New.Priority),
+                                  WaitBehind(New.Priority + 1)};
+  if (!scheduling::isOverloaded(Orders_, Now))
+    return Result;
+  if (Result.InTurn)
+    *Result.InTurn = std::max(
+        *Result.InTurn,
+        scheduling::timeToOrder(Orders_, Pool.Ahead.size() + Own.Tasks, Now));
+  // Orders for jobs that can be in time take all that can be sent.
+  Result.AsLate.reset();
+  return Result;
 }
 
 scheduling::WaitForecast
--- a/src/jobs/tests/overloadtest.cpp
+++ b/src/jobs/tests/overloadtest.cpp
@@ -50,6 +50,10 @@
                 bool Done = Ended && Ended->State == JobState::Completed;
                 Served_ += Done && Took <= 3 * Objective ? 1 : 0;
                 InTime_ += Done && Took <= Objective ? 1 : 0;
+                if (Ended && Ended->State == JobState::Cancelled) {
+                  ++Refused_;
+                  LongestRefusal_ = std::max(LongestRefusal_, Took);
+                }
               });
   }
 
@@ -84,6 +88,8 @@
   std::size_t Submitted_ = 0;
   std::size_t Served_ = 0;
   std::size_t InTime_ = 0;
+  std::size_t Refused_ = 0;
+  Duration LongestRefusal_{0};
 };
 
 // Guards against a service that collapses beyond the capacity of an owner's
@@ -96,6 +102,16 @@
   EXPECT_TRUE(Workers.Doubled.empty());
 }
 
+// Guards against jobs that wait for their deadline where it is known that they
+// can't be served.
+TEST_F(OverloadTest, AnOverloadedOwnerRefusesAtOnceWhatDoesNotFit) {
+  auto Owner = ownerOfAll();
+  play(*Owner, 2, PlayTime);
+  run(2s);
+  EXPECT_GE(Served_ + Refused_, Submitted_ * 9 / 10);
+  EXPECT_LE(LongestRefusal_, 3 * Objective);
+}
+
 // Guards against a collapse that outlasts the overload that caused it.
 TEST_F(OverloadTest, AnOwnerRecoversOnceTheLoadFits) {
   auto Owner = ownerOfAll();
--- a/src/scheduling/orderwindow.cpp
+++ b/src/scheduling/orderwindow.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr double MinSize = 4;
+/// More than a wide job, so that an owner whose answers are late for another
+/// reason still orders some tens of tasks a second.
+constexpr double MinSize = 12;
 constexpr double Decrease = 0.7;
 constexpr double Increase = 1.5;
 constexpr Duration Interval = std::chrono::milliseconds(100);
@@ -27,36 +29,20 @@
 /// The owner counts as overloaded for this long after a congested interval in
 /// which orders waited. The window grows and shrinks several times meanwhile.
 constexpr Duration OverloadLasts = std::chrono::milliseconds(500);
-/// Of answers a second, so that a wait stays finite.
-constexpr double LeastRate = 1;
-/// The weight of the latest interval in the rate of answers.
-constexpr double RateWeight = 0.3;
-
-bool isOverloaded(const OrderWindow &Window, Time Now) {
-  return Window.OverloadedAt && Now - *Window.OverloadedAt < OverloadLasts;
-}
+/// The weight of each answer in the time per order is one in this many.
+constexpr int PaceWeightDivisor = 32;
 
 bool isCongested(const OrderWindow &Window) {
   return Window.QuickestAnswer ? *Window.QuickestAnswer > LatestAnswer
                                : Window.HasOverdue;
 }
 
-void learnRate(OrderWindow &Window, Duration Length, Time Now) {
-  bool Known = isOverloaded(Window, Now);
-  bool Congested = isCongested(Window);
-  if (!Window.WasFull || (!Known && !Congested))
-    return;
-  double Rate = static_cast<double>(Window.Answers) /
-                std::chrono::duration<double>(Length).count();
-  // Without congestion more might have been answered.
-  if (!Congested)
-    Rate = std::max(Rate, Window.AnswersPerSecond);
-  Window.AnswersPerSecond =
-      Known ? Window.AnswersPerSecond +
-                  RateWeight * (Rate - Window.AnswersPerSecond)
-            : Rate;
-  if (Congested)
-    Window.OverloadedAt = Now;
+/// Orders of one owner leave one after the other, so answers come at the pace
+/// at which they are sent.
+void learnPace(OrderWindow &Window, Time SentAt, Time Now) {
+  Duration Gap = Now - std::max(SentAt, Window.LastAnswerAt);
+  Window.PerOrder += (Gap - Window.PerOrder) / PaceWeightDivisor;
+  Window.LastAnswerAt = Now;
 }
 
 void resize(OrderWindow &Window) {
@@ -71,13 +57,13 @@
   if (Length < Interval)
     return;
   if (Length < LongestInterval) {
-    learnRate(Window, Length, Now);
+    if (Window.WasFull && isCongested(Window))
+      Window.OverloadedAt = Now;
     resize(Window);
   } else {
     Window.FastUntil = MaxOrderWindow;
   }
   Window.IntervalBegan = Now;
-  Window.Answers = 0;
   Window.QuickestAnswer.reset();
   Window.WasFull = Window.HasOverdue = false;
 }
@@ -98,6 +84,10 @@
 
 } // namespace
 
+bool isOverloaded(const OrderWindow &Window, Time Now) {
+  return Window.OverloadedAt && Now - *Window.OverloadedAt < OverloadLasts;
+}
+
 bool hasRoom(OrderWindow &Window, Time Now) {
   dropOvertaken(Window, Now);
   Window.HasOverdue = Window.HasOverdue || isOverdue(Window, Now);
@@ -115,12 +105,14 @@
 }
 
 void noteOrderAnswered(OrderWindow &Window, OrderNumber Number, Time Now) {
-  ++Window.Answers;
+  bool Overtaken = Number < Window.LastAnswered;
   Window.LastAnswered = std::max(Window.LastAnswered, Number);
   auto Found = Window.Unanswered.find(Number);
   if (Found == Window.Unanswered.end())
     return;
   Duration Took = Now - Found->second;
+  if (!Overtaken)
+    learnPace(Window, Found->second, Now);
   Window.QuickestAnswer = std::min(Took, Window.QuickestAnswer.value_or(Took));
   Window.Unanswered.erase(Found);
   if (Took < LatestAnswer && Window.WasFull && Window.Size < Window.FastUntil)
@@ -132,11 +124,10 @@
 }
 
 Duration timeToOrder(const OrderWindow &Window, std::size_t Orders, Time Now) {
-  if (!isOverloaded(Window, Now))
-    return Duration(0);
-  double Rate = std::max(Window.AnswersPerSecond, LeastRate);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(static_cast<double>(Orders) / Rate));
+  return isOverloaded(Window, Now)
+             ? Window.PerOrder *
+                   static_cast<Duration::rep>(Window.Unanswered.size() + Orders)
+             : Duration(0);
 }
 
 } // namespace geraniumbay::scheduling
--- a/src/scheduling/orderwindow.h
+++ b/src/scheduling/orderwindow.h
@@ -33,7 +33,7 @@
 struct OrderWindow {
   /// The most orders that may be unanswered. Fractional, so that it grows
   /// smoothly.
-  double Size = 16;
+  double Size = 32;
   /// Up to here it grows with each answer.
   double FastUntil = MaxOrderWindow;
   OrderNumber Last;
@@ -44,19 +44,21 @@
 
   // The interval in progress.
   Time IntervalBegan;
-  std::size_t Answers = 0;
   std::optional<Duration> QuickestAnswer;
   /// An order had to wait for room.
   bool WasFull = false;
   /// An order was unanswered for longer than answers usually take.
   bool HasOverdue = false;
 
-  /// While the owner is overloaded: answers a second, smoothed, and when it was
-  /// found to be so last.
-  double AnswersPerSecond = 0;
+  /// Mean time from one answer to the next while orders are unanswered.
+  Duration PerOrder{0};
+  Time LastAnswerAt;
+  /// When an interval was congested last while orders had to wait.
   std::optional<Time> OverloadedAt;
 };
 
+/// Whether orders had to wait lately although the window could not grow.
+bool isOverloaded(const OrderWindow &Window, Time Now);
 /// Whether one more order may be sent; otherwise tasks wait.
 bool hasRoom(OrderWindow &Window, Time Now);
 /// Notes an order that is sent now.
@@ -66,8 +68,8 @@
 /// Notes that an order is not answered any more.
 void noteOrderLost(OrderWindow &Window, OrderNumber Number);
 
-/// The time until the last of \p Orders that wait in line is sent; 0 if the
-/// owner is not overloaded.
+/// The time until the last of \p Orders that are still to be sent is answered;
+/// 0 if the owner is not overloaded.
 Duration timeToOrder(const OrderWindow &Window, std::size_t Orders, Time Now);
 
 } // namespace geraniumbay::scheduling
