--- a/src/jobs/internal/scheduler.cpp
+++ b/src/jobs/internal/scheduler.cpp
@@ -326,6 +326,7 @@
   releaseUnsettled(Now);
   finishMoves();
   reportEmptied();
+  reportOverload(Now);
   if (!TakenOver_ && Now >= TakeOverDeadline_)
     takeOver();
   scheduleSoon();
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -305,6 +305,8 @@
                const StartAnswer &Answer);
   /// Whether one more order may be sent; if not, tasks stay in the queue.
   bool mayOrder(Time Now);
+  /// Logs when the owner becomes overloaded and when it no longer is.
+  void reportOverload(Time Now);
   void noteOrderEnded(scheduling::OrderNumber Number,
                       const StartAnswer &Answer);
   void noteTiming(const WorkerSession &Session, Time Sent,
@@ -400,6 +402,7 @@
   scheduling::CallTiming Timing_;
   /// The start orders that may be unanswered.
   scheduling::OrderWindow Orders_;
+  bool OverloadReported_ = false;
   /// The worker of each known run. Invariant: agrees with Sessions_.
   std::unordered_map<TaskId, WorkerId> Places_;
   /// Tasks that are ready to start, in order.
--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -98,6 +98,25 @@
 
 bool Scheduler::mayOrder(Time Now) { return scheduling::hasRoom(Orders_, Now); }
 
+void Scheduler::reportOverload(Time Now) {
+  bool Overloaded = scheduling::isOverloaded(Orders_, Now);
+  if (Overloaded == OverloadReported_)
+    return;
+  OverloadReported_ = Overloaded;
+  if (Overloaded)
+    Deps_.Measured.count("geraniumbay_owner_overloads_total",
+                         "Times that a pool's owner could not order tasks as "
+                         "fast as they came.",
+                         {});
+  logEvent(LogLevel::Warning, Module,
+           Overloaded ? "owner_overloaded" : "owner_keeps_up",
+           {{"pool", Deps_.Pool},
+            {"waiting_tasks", Queue_.size()},
+            {"unanswered", Orders_.Unanswered.size()},
+            {"window", static_cast<std::uint64_t>(Orders_.Size)},
+            {"per_order_us", Orders_.PerOrder.count()}});
+}
+
 void Scheduler::noteOrderEnded(scheduling::OrderNumber Number,
                                const StartAnswer &Answer) {
   if (Answer.Result == StartResult::Unknown ||
