Don't learn a pause of the owner as the pace of answers

Cause: found by reading: the gap between two answers has no bound, so a pause of the process would raise the forecast wait of all jobs while the owner counts as overloaded. Test: OrderWindowTest.APauseIsNotThePaceOfAnswers

--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -307,6 +307,7 @@
   bool mayOrder(Time Now);
   /// Logs when the owner becomes overloaded and when it no longer is.
   void reportOverload(Time Now);
+  /// Frees the order's place in the window.
   void noteOrderEnded(scheduling::OrderNumber Number,
                       const StartAnswer &Answer);
   void noteTiming(const WorkerSession &Session, Time Sent,
@@ -400,8 +401,9 @@
   /// up again from lists that still contain them.
   std::map<WorkerId, WorkerStart> Gone_;
   scheduling::CallTiming Timing_;
-  /// The start orders that may be unanswered.
+  /// The start orders that are unanswered, and how many may be.
   scheduling::OrderWindow Orders_;
+  /// The last event of reportOverload() was the begin of an overload.
   bool OverloadReported_ = false;
   /// The worker of each known run. Invariant: agrees with Sessions_.
   std::unordered_map<TaskId, WorkerId> Places_;
--- a/src/scheduling/orderwindow.cpp
+++ b/src/scheduling/orderwindow.cpp
@@ -23,8 +23,8 @@
 /// Workers answer within a few milliseconds. Later than this, short jobs miss
 /// their objectives, and orders come close to the end of their validity.
 constexpr Duration LatestAnswer = std::chrono::milliseconds(50);
-/// An interval without orders to send is left unfinished. One that is this long
-/// tells nothing.
+/// Without orders to send no interval ends. One that lasted this long shows
+/// nothing about the load.
 constexpr Duration LongestInterval = std::chrono::milliseconds(300);
 /// The owner counts as overloaded for this long after a congested interval in
 /// which orders waited. The window grows and shrinks several times meanwhile.
@@ -40,7 +40,8 @@
 /// Orders of one owner leave one after the other, so answers come at the pace
 /// at which they are sent.
 void learnPace(OrderWindow &Window, Time SentAt, Time Now) {
-  Duration Gap = Now - std::max(SentAt, Window.LastAnswerAt);
+  // A pause of this process is no pace.
+  Duration Gap = std::min(Now - std::max(SentAt, Window.LastAnswerAt), Interval);
   Window.PerOrder += (Gap - Window.PerOrder) / PaceWeightDivisor;
   Window.LastAnswerAt = Now;
 }
--- a/src/scheduling/orderwindow.h
+++ b/src/scheduling/orderwindow.h
@@ -28,8 +28,10 @@
 /// Numbers the orders of one window.
 using OrderNumber = StrongId<struct OrderNumberTag, std::uint64_t>;
 
+/// The largest size of a window.
 constexpr double MaxOrderWindow = 1024;
 
+/// The window of one pool's owner.
 struct OrderWindow {
   /// The most orders that may be unanswered. Fractional, so that it grows
   /// smoothly.
--- a/src/scheduling/tests/orderwindowtest.cpp
+++ b/src/scheduling/tests/orderwindowtest.cpp
@@ -89,6 +89,15 @@
   EXPECT_EQ(timeToOrder(Window, 50, Now + 1s), Duration(0));
 }
 
+// Guards against jobs that are refused after a pause of the owner, since the
+// pause was learned as the pace of answers.
+TEST_F(OrderWindowTest, APauseIsNotThePaceOfAnswers) {
+  play(3s, 0.1);
+  Now += 5s;
+  play(1s, 0.1);
+  EXPECT_LE(timeToOrder(Window, 50, Now), 700ms);
+}
+
 // Guards against a rate that is taken over a time in which nothing was to send.
 TEST_F(OrderWindowTest, ARestAfterABurstIsNoOverload) {
   while (hasRoom(Window, Now))
