--- a/src/framework/tests/traffictest.cpp
+++ b/src/framework/tests/traffictest.cpp
@@ -40,24 +40,24 @@
     Request.Path = "/rpc";
     Request.Kind = Kind;
     Request.Body = std::string(1000, 'x');
-    Client.call({"10.0.0.1", 80}, std::move(Request), 1s,
-                [](const Outcome<HttpResponse> &) {
-                  // Only the counts matter.
-                });
+    Client_.call({"10.0.0.1", 80}, std::move(Request), 1s,
+                 [](const Outcome<HttpResponse> &) {
+                   // Only the counts matter.
+                 });
   }
 
   bool reports(const std::string &Line) {
-    Clock.advance(1s);
-    Timers.runDue();
-    return Measured.text().find(Line) != std::string::npos;
+    Clock_.advance(1s);
+    Timers_.runDue();
+    return Measured_.text().find(Line) != std::string::npos;
   }
 
-  ManualClock Clock;
-  TimerQueue Timers{Clock};
-  Metrics Measured;
-  TrafficMeter Meter{Clock, Timers, Measured};
-  ScriptedHttp Http;
-  MeteredHttpClient Client{Http, Meter};
+  ManualClock Clock_;
+  TimerQueue Timers_{Clock_};
+  Metrics Measured_;
+  TrafficMeter Meter_{Clock_, Timers_, Measured_};
+  ScriptedHttp Http_;
+  MeteredHttpClient Client_{Http_, Meter_};
 };
 
 // Guards against bytes on a link that no metric assigns to a kind of message.
@@ -74,7 +74,7 @@
 // Guards against lost calls that look like answered ones.
 TEST_F(TrafficTest, CallsWithoutAResponseAreCountedApart) {
   callOnce("jobs.run");
-  Http.Answers = false;
+  Http_.Answers = false;
   callOnce("jobs.run");
   EXPECT_TRUE(reports("geraniumbay_calls_total{kind=\"jobs.run\"} 2"));
   EXPECT_TRUE(
--- a/src/jobs/tests/overloadtest.cpp
+++ b/src/jobs/tests/overloadtest.cpp
@@ -62,9 +62,12 @@
   void play(Scheduler &Owner, double Load, Duration For) {
     double JobsPerMilli = Load * static_cast<double>(LinkBytesPerMilli) /
                           static_cast<double>(OrderBytes * TasksOfAJob);
-    double Due = 0;
-    for (Time End = Clock.now() + For; Clock.now() < End;) {
-      for (Due += JobsPerMilli; Due >= 1; --Due)
+    std::size_t Sent = 0;
+    for (std::size_t Milli = 1; Milli <= static_cast<std::size_t>(For / 1ms);
+         ++Milli) {
+      for (auto Due = static_cast<std::size_t>(static_cast<double>(Milli) *
+                                               JobsPerMilli);
+           Sent < Due; ++Sent)
         submit(Owner);
       run(1ms);
     }
--- a/src/scheduling/orderwindow.cpp
+++ b/src/scheduling/orderwindow.cpp
@@ -41,7 +41,8 @@
 /// at which they are sent.
 void learnPace(OrderWindow &Window, Time SentAt, Time Now) {
   // A pause of this process is no pace.
-  Duration Gap = std::min(Now - std::max(SentAt, Window.LastAnswerAt), Interval);
+  Duration Gap =
+      std::min(Now - std::max(SentAt, Window.LastAnswerAt), Interval);
   Window.PerOrder += (Gap - Window.PerOrder) / PaceWeightDivisor;
   Window.LastAnswerAt = Now;
 }
--- a/src/scheduling/tests/orderwindowtest.cpp
+++ b/src/scheduling/tests/orderwindowtest.cpp
@@ -6,9 +6,10 @@
 
 #include "scheduling/orderwindow.h"
 
-#include <deque>
 #include <gtest/gtest.h>
 
+#include <deque>
+
 namespace geraniumbay::scheduling {
 namespace {
 
@@ -20,18 +21,18 @@
 protected:
   /// Sends all that the window allows in each millisecond.
   void play(Duration For, double OrdersPerMilli) {
-    for (Time End = Now + For; Now < End; Now += 1ms) {
-      while (hasRoom(Window, Now)) {
-        LinkFreeAt =
-            std::max(LinkFreeAt, Now) +
+    for (Time End = Now_ + For; Now_ < End; Now_ += 1ms) {
+      while (hasRoom(Window_, Now_)) {
+        LinkFreeAt_ =
+            std::max(LinkFreeAt_, Now_) +
             Duration(static_cast<Duration::rep>(1000 / OrdersPerMilli));
-        Answers.push_back({LinkFreeAt + 2ms, noteOrder(Window, Now), Now});
+        Answers_.push_back({LinkFreeAt_ + 2ms, noteOrder(Window_, Now_), Now_});
       }
-      while (!Answers.empty() && Answers.front().At <= Now) {
-        LongestAnswer = std::max(LongestAnswer, Now - Answers.front().Sent);
-        noteOrderAnswered(Window, Answers.front().Number, Now);
-        ++Answered;
-        Answers.pop_front();
+      while (!Answers_.empty() && Answers_.front().At <= Now_) {
+        LongestAnswer_ = std::max(LongestAnswer_, Now_ - Answers_.front().Sent);
+        noteOrderAnswered(Window_, Answers_.front().Number, Now_);
+        ++Answered_;
+        Answers_.pop_front();
       }
     }
   }
@@ -42,72 +43,72 @@
     Time Sent;
   };
 
-  OrderWindow Window;
-  Time Now{1s};
-  Time LinkFreeAt{};
-  std::deque<Answer> Answers;
-  std::size_t Answered = 0;
-  Duration LongestAnswer{0};
+  OrderWindow Window_;
+  Time Now_{1s};
+  Time LinkFreeAt_{};
+  std::deque<Answer> Answers_;
+  std::size_t Answered_ = 0;
+  Duration LongestAnswer_{0};
 };
 
 // Guards against orders that queue on a narrow link until they are useless.
 TEST_F(OrderWindowTest, AnswersStayQuickOnANarrowLink) {
   play(2s, 0.1);
-  LongestAnswer = Duration(0);
-  Answered = 0;
+  LongestAnswer_ = Duration(0);
+  Answered_ = 0;
   play(5s, 0.1);
-  EXPECT_LE(LongestAnswer, 150ms);
-  EXPECT_GE(Answered, 450U);
+  EXPECT_LE(LongestAnswer_, 150ms);
+  EXPECT_GE(Answered_, 450U);
 }
 
 // Guards against a limit that holds back an owner with capacity to spare.
 TEST_F(OrderWindowTest, AWideLinkIsNotLimited) {
   play(2s, 50);
-  EXPECT_GE(Window.Size, 100);
-  EXPECT_EQ(timeToOrder(Window, 1000, Now), Duration(0));
+  EXPECT_GE(Window_.Size, 100);
+  EXPECT_EQ(timeToOrder(Window_, 1000, Now_), Duration(0));
 }
 
 // Guards against a pool that slows down for one worker that does not answer.
 TEST_F(OrderWindowTest, ASilentWorkerDoesNotShrinkTheWindow) {
-  double Before = Window.Size;
-  for (int I = 0; I < 2000; ++I, Now += 1ms) {
-    ASSERT_TRUE(hasRoom(Window, Now));
-    OrderNumber Lost = noteOrder(Window, Now);
+  double Before = Window_.Size;
+  for (int I = 0; I < 2000; ++I, Now_ += 1ms) {
+    ASSERT_TRUE(hasRoom(Window_, Now_));
+    OrderNumber Lost = noteOrder(Window_, Now_);
     if (I % 10 != 0)
-      noteOrderAnswered(Window, Lost, Now + 1ms);
+      noteOrderAnswered(Window_, Lost, Now_ + 1ms);
   }
-  EXPECT_GE(Window.Size, Before);
+  EXPECT_GE(Window_.Size, Before);
 }
 
 // Guards against jobs that are admitted although their orders can't be sent.
 TEST_F(OrderWindowTest, TheWaitOfAnOverloadedOwnerFollowsItsRate) {
   play(3s, 0.1);
-  Duration Wait = timeToOrder(Window, 50, Now);
+  Duration Wait = timeToOrder(Window_, 50, Now_);
   EXPECT_GE(Wait, 400ms);
   EXPECT_LE(Wait, 700ms);
   // Once it is not overloaded any more, nothing waits.
-  EXPECT_EQ(timeToOrder(Window, 50, Now + 1s), Duration(0));
+  EXPECT_EQ(timeToOrder(Window_, 50, Now_ + 1s), Duration(0));
 }
 
 // Guards against jobs that are refused after a pause of the owner, since the
 // pause was learned as the pace of answers.
 TEST_F(OrderWindowTest, APauseIsNotThePaceOfAnswers) {
   play(3s, 0.1);
-  Now += 5s;
+  Now_ += 5s;
   play(1s, 0.1);
-  EXPECT_LE(timeToOrder(Window, 50, Now), 700ms);
+  EXPECT_LE(timeToOrder(Window_, 50, Now_), 700ms);
 }
 
 // Guards against a rate that is taken over a time in which nothing was to send.
 TEST_F(OrderWindowTest, ARestAfterABurstIsNoOverload) {
-  while (hasRoom(Window, Now))
-    Answers.push_back({Now + 3ms, noteOrder(Window, Now), Now});
-  Now += 3ms;
-  for (const Answer &Each : Answers)
-    noteOrderAnswered(Window, Each.Number, Now);
-  Now += 20s;
-  EXPECT_TRUE(hasRoom(Window, Now));
-  EXPECT_EQ(timeToOrder(Window, 100, Now), Duration(0));
+  while (hasRoom(Window_, Now_))
+    Answers_.push_back({Now_ + 3ms, noteOrder(Window_, Now_), Now_});
+  Now_ += 3ms;
+  for (const Answer &Each : Answers_)
+    noteOrderAnswered(Window_, Each.Number, Now_);
+  Now_ += 20s;
+  EXPECT_TRUE(hasRoom(Window_, Now_));
+  EXPECT_EQ(timeToOrder(Window_, 100, Now_), Duration(0));
 }
 
 } // namespace
