Give HttpRequest::Kind a default, so that requests can be written without it

Cause: added a last member; tests that write a request as a list of its members no longer compiled (-Wmissing-field-initializers), which the build of single modules had not shown.

--- a/src/framework/net/httpmessage.h
+++ b/src/framework/net/httpmessage.h
@@ -35,7 +35,7 @@
   HttpHeaders Headers;
   std::string Body;
   /// Names the kind of message in metrics; empty: its path. Not sent.
-  std::string Kind;
+  std::string Kind{};
 };
 
 /// A whole response.
