Size pools by the same smallest link that ownership uses

Cause: workersPerPool searched for the narrowest known link by itself, as smallestKnown of ownership.cpp does. Change: that function is public and serves both. Behaviour as before.

--- a/src/scheduling/ownership.cpp
+++ b/src/scheduling/ownership.cpp
@@ -25,16 +25,6 @@
 /// wait for a tenth of a second, longer than the allowance of short ones.
 constexpr double MoveThreshold = 0.5;
 
-/// The smallest value of \p Field that is known, or 0.
-std::uint32_t smallestKnown(const std::vector<VmCapacity> &Capacities,
-                            std::uint32_t VmCapacity::*Field) {
-  std::uint32_t Result = 0;
-  for (const VmCapacity &Each : Capacities)
-    if (Each.*Field != 0 && (Result == 0 || Each.*Field < Result))
-      Result = Each.*Field;
-  return Result;
-}
-
 /// How many times the smallest VM each candidate is, by whichever of processor
 /// and link it has less of, after the reserve for callers.
 std::vector<double> usableCapacities(const std::vector<VmCapacity> &All) {
@@ -150,6 +140,15 @@
 
 } // namespace
 
+std::uint32_t smallestKnown(const std::vector<VmCapacity> &Capacities,
+                            std::uint32_t VmCapacity::*Field) {
+  std::uint32_t Result = 0;
+  for (const VmCapacity &Each : Capacities)
+    if (Each.*Field != 0 && (Result == 0 || Each.*Field < Result))
+      Result = Each.*Field;
+  return Result;
+}
+
 bool areAlike(const std::vector<VmCapacity> &Capacities) {
   for (auto Field : {&VmCapacity::CpuMillis, &VmCapacity::LinkKbits}) {
     std::uint32_t Smallest = smallestKnown(Capacities, Field);
--- a/src/scheduling/ownership.h
+++ b/src/scheduling/ownership.h
@@ -35,6 +35,10 @@
   bool operator==(const VmCapacity &) const = default;
 };
 
+/// The smallest value of \p Field that is known, or 0.
+std::uint32_t smallestKnown(const std::vector<VmCapacity> &Capacities,
+                            std::uint32_t VmCapacity::*Field);
+
 /// Whether all known capacities are equal, so that no candidate is preferable.
 bool areAlike(const std::vector<VmCapacity> &Capacities);
 
--- a/src/scheduling/poolsize.cpp
+++ b/src/scheduling/poolsize.cpp
@@ -40,11 +40,11 @@
 } // namespace
 
 std::size_t workersPerPool(const std::vector<VmCapacity> &Capacities) {
-  std::size_t Result = TargetWorkersPerPool;
-  for (const VmCapacity &Each : Capacities)
-    if (Each.LinkKbits != 0)
-      Result = std::min(Result, Each.LinkKbits / LinkKbitsPerWorker);
-  return std::max<std::size_t>(Result, 1);
+  std::size_t Narrowest = smallestKnown(Capacities, &VmCapacity::LinkKbits);
+  if (Narrowest == 0)
+    return TargetWorkersPerPool;
+  return std::clamp<std::size_t>(Narrowest / LinkKbitsPerWorker, 1,
+                                 TargetWorkersPerPool);
 }
 
 std::map<std::string, std::string>
