Schedule after an answer only if a task waited for the window

Cause: since each answer to an order starts a pass over the waiting tasks, also where they wait for room at workers, which an answer does not make. That is work for nothing with each start of a full pool. Found by reading; its cost was not measured. Change: the pass is due only if an order had to wait for the window. A method that only forwarded to hasRoom() is gone. Checks: OverloadTest.* unchanged; ctest without processes and soak 871 of 871, lint of the changed files and format clean.

--- a/src/jobs/internal/placement.cpp
+++ b/src/jobs/internal/placement.cpp
@@ -88,8 +88,8 @@
     moveShutOut();
   Time Now = Deps_.Clock.now();
   std::size_t Skipped = 0;
-  for (auto It = Queue_.begin();
-       It != Queue_.end() && Skipped < MaxSkipped && mayOrder(Now);) {
+  for (auto It = Queue_.begin(); It != Queue_.end() && Skipped < MaxSkipped &&
+                                 scheduling::hasRoom(Orders_, Now);) {
     if (!taskOf(It->second.Id)) {
       // Its job has just ended, and onCommitted() has not been called yet.
       Ranks_.erase(It->second.Id);
--- a/src/jobs/internal/scheduler.h
+++ b/src/jobs/internal/scheduler.h
@@ -303,8 +303,6 @@
                              RunNumber Number);
   void started(const WorkerIncarnation &To, const StartOrder &Order, Time Sent,
                const StartAnswer &Answer);
-  /// Whether one more order may be sent; if not, tasks stay in the queue.
-  bool mayOrder(Time Now);
   /// Logs when the owner becomes overloaded and when it no longer is.
   void reportOverload(Time Now);
   /// Frees the order's place in the window.
--- a/src/jobs/internal/startorders.cpp
+++ b/src/jobs/internal/startorders.cpp
@@ -96,8 +96,6 @@
       });
 }
 
-bool Scheduler::mayOrder(Time Now) { return scheduling::hasRoom(Orders_, Now); }
-
 void Scheduler::reportOverload(Time Now) {
   bool Overloaded = scheduling::isOverloaded(Orders_, Now);
   if (Overloaded == OverloadReported_)
@@ -124,7 +122,9 @@
     scheduling::noteOrderLost(Orders_, Number);
   else
     scheduling::noteOrderAnswered(Orders_, Number, Deps_.Clock.now());
-  scheduleSoon();
+  // Without a task that waited for the window an answer makes no room.
+  if (Orders_.WasFull)
+    scheduleSoon();
 }
 
 bool Scheduler::isUnanswered(const WorkerId &Worker, const TaskId &Task,
